--- /dev/null
+++ b/src/clock/clock.h
@@ -0,0 +1,48 @@
+#pragma once
+
+// The clock as an interface, so that tests and randomised runs decide the time.
+//
+//   jackdawpick::manual_clock clock;
+//   clock.advance(std::chrono::seconds(3));
+//   jackdawpick::time_point now = clock.now();
+
+#include <chrono>
+
+namespace jackdawpick
+{
+
+using time_point = std::chrono::steady_clock::time_point;
+using duration = std::chrono::steady_clock::duration;
+
+// Source of monotonic time. Implementations need not be thread safe: the daemon runs one loop on one thread.
+class clock_source
+{
+public:
+    virtual ~clock_source() = default;
+    [[nodiscard]] virtual time_point now() const = 0;
+};
+
+// The monotonic clock of the operating system.
+class system_clock_source final : public clock_source
+{
+public:
+    [[nodiscard]] time_point now() const override;
+};
+
+// A clock that moves only when told to. Starts one hour after the epoch so that subtraction never underflows.
+class manual_clock final : public clock_source
+{
+public:
+    [[nodiscard]] time_point now() const override;
+    void advance(duration step);
+    // Moves to `when`; earlier times are ignored, since the clock is monotonic.
+    void advanceTo(time_point when);
+
+private:
+    time_point m_now{std::chrono::hours(1)};
+};
+
+// Milliseconds from `from` to `to`, rounded down; negative when `to` is earlier.
+[[nodiscard]] std::chrono::milliseconds millisecondsBetween(time_point from, time_point to);
+
+} // namespace jackdawpick
--- /dev/null
+++ b/src/net/net.h
@@ -0,0 +1,167 @@
+#pragma once
+
+// One libwebsockets loop on one thread: HTTP server, HTTP client with streamed answers, framed TCP for peers, timers
+// and signals. All callbacks run on the thread that calls run(); none is called from within the call that set it up.
+//
+//   net::loop loop;
+//   loop.listenHttp({.address = "127.0.0.1", .port = 0}, [&](net::http_request request) { ... });
+//   loop.every(1s, [] { ... });
+//   loop.run();
+
+#include "clock/clock.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jackdawpick::net
+{
+
+struct listen_options
+{
+    std::string address = "127.0.0.1"; // IP number.
+    std::uint16_t port = 0; // 0: chosen by the system.
+    std::size_t maxBodyBytes = 4U << 20U;
+    std::uint32_t maxConnections = 4096;
+    std::chrono::milliseconds requestTimeout{10000}; // For the whole request to arrive.
+};
+
+enum class request_id : std::uint64_t {};
+
+struct http_request
+{
+    request_id id{};
+    std::string method;
+    std::string path; // Without the query.
+    std::string query; // Without the question mark.
+    std::string body;
+    std::vector<std::pair<std::string, std::string>>
+        headers; // X-Request-Id, Content-Type, Accept; names in lower case.
+};
+
+struct http_head
+{
+    std::uint16_t status = 200;
+    std::string contentType = "application/json";
+    std::vector<std::pair<std::string, std::string>> headers;
+};
+
+struct client_request
+{
+    std::string address; // "ip:port"
+    std::string method = "GET";
+    std::string path = "/";
+    std::string body;
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::chrono::milliseconds timeout{10000}; // For the whole exchange.
+    std::chrono::milliseconds silence{0}; // Longest time without a byte once connected; 0: no bound.
+};
+
+enum class client_error : std::uint8_t {
+    None,
+    ConnectFailed, // Nothing was sent.
+    ConnectionLost, // After bytes were sent.
+    Silent,
+    Timeout,
+};
+
+enum class client_id : std::uint64_t {};
+
+// What a client request ended with. The body is complete only if `error` is None.
+struct client_result
+{
+    client_error error = client_error::None;
+    bool bytesSent = false; // At least one byte of the request was handed to the connection.
+    std::uint16_t status = 0;
+    std::vector<std::pair<std::string, std::string>> headers; // Those named in `wantedHeaders` of the loop.
+    std::string body; // Empty if a chunk handler took the body.
+};
+
+using chunk_handler = std::function<void(std::string_view bytes)>;
+using result_handler = std::function<void(client_result)>;
+
+enum class stream_id : std::uint64_t {};
+
+// Framed or raw TCP connection events.
+struct tcp_handlers
+{
+    std::function<void(stream_id)> connected;
+    std::function<void(stream_id, std::string_view bytes)> received;
+    std::function<void(stream_id)> closed;
+};
+
+struct loop_counters
+{
+    std::uint64_t tcpBytesIn = 0;
+    std::uint64_t tcpBytesOut = 0;
+    std::uint64_t httpRequests = 0;
+    std::uint64_t clientRequests = 0;
+};
+
+class loop
+{
+public:
+    loop();
+    ~loop();
+    loop(const loop &) = delete;
+    loop &operator=(const loop &) = delete;
+
+    // Returns the port. Throws error(SettingsInvalid) if the address cannot be bound. `disconnected` is called once if
+    // the client goes away before the answer is complete.
+    std::uint16_t listenHttp(const listen_options &options, std::function<void(http_request)> handler,
+                             std::function<void(request_id)> disconnected = {});
+    // Complete answer. Ignored if the client has gone.
+    void respond(request_id id, const http_head &head, std::string body);
+    // Streamed answer: head, any number of writes, end.
+    void beginStream(request_id id, const http_head &head);
+    void writeStream(request_id id, std::string bytes);
+    void endStream(request_id id);
+    // Bytes accepted by writeStream() and not yet written to the socket.
+    [[nodiscard]] std::size_t bufferedBytes(request_id id) const;
+
+    // Starts a request; `onChunk`, if set, gets the body of a 2xx answer as it arrives.
+    client_id request(client_request request, result_handler onResult, chunk_handler onChunk = {});
+    // Closes the connection of the request; its handlers are not called any more.
+    void cancel(client_id id);
+
+    std::uint16_t listenTcp(const listen_options &options, tcp_handlers handlers);
+    // `closed` is called if the connection cannot be made.
+    stream_id connectTcp(const std::string &address, tcp_handlers handlers);
+    void send(stream_id id, std::string bytes);
+    void close(stream_id id);
+
+    // Calls `task` once after `delay`, or again and again every `interval`.
+    void after(std::chrono::milliseconds delay, std::function<void()> task);
+    void every(std::chrono::milliseconds interval, std::function<void()> task);
+    // Replaces the one wake-up time of the owner of the loop.
+    void wakeAt(std::optional<time_point> when, std::function<void()> task);
+    // SIGTERM and SIGINT.
+    void onTerminate(std::function<void()> task);
+
+    // Runs until stop().
+    void run();
+    void stop();
+
+    [[nodiscard]] const loop_counters &counters() const;
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> m_impl;
+};
+
+// Splits "data: …" lines of a server-sent event stream. Holds at most one incomplete line of `maxLineBytes`.
+class sse_reader
+{
+public:
+    // The payloads of all events completed by `bytes`.
+    [[nodiscard]] std::vector<std::string> append(std::string_view bytes);
+
+private:
+    std::string m_buffer;
+};
+
+} // namespace jackdawpick::net
--- /dev/null
+++ b/src/wire/wire.h
@@ -0,0 +1,95 @@
+#pragma once
+
+// Messages between daemons: TCP, a 4-byte little-endian length and one FlatBuffers envelope.
+//
+//   std::string frame = encodeFrame(heartbeat{...});
+//   frame_reader reader;
+//   reader.append(bytes);
+//   while (auto message = reader.next()) { ... }   // throws error(MalformedRequest) on garbage or another version
+
+#include "membership/membership.h"
+#include "model/model.h"
+
+namespace jackdawpick
+{
+
+inline constexpr std::uint32_t protocolVersion = 1;
+inline constexpr std::size_t maxFrameBytes = 16U << 20U;
+
+struct hello
+{
+    std::uint32_t version = protocolVersion;
+    daemon_identity daemon;
+    std::string zone;
+    bool operator==(const hello &) const = default;
+};
+
+// A call passed to the owner of its program, as received over HTTP. `id` is chosen by the sender, unique per link.
+struct forward_call
+{
+    std::uint64_t id = 0;
+    std::string path;
+    std::string body;
+    bool operator==(const forward_call &) const = default;
+};
+
+struct forward_chunk
+{
+    std::uint64_t id = 0;
+    std::string text;
+    bool operator==(const forward_chunk &) const = default;
+};
+
+// The final answer: a JSON object, with the HTTP status that the caller gets if nothing was streamed before.
+struct forward_end
+{
+    std::uint64_t id = 0;
+    std::uint16_t httpStatus = 200;
+    std::uint32_t retryAfterMs = 0;
+    std::string body;
+    bool operator==(const forward_end &) const = default;
+};
+
+struct forward_cancel
+{
+    std::uint64_t id = 0;
+    bool operator==(const forward_cancel &) const = default;
+};
+
+struct quarantine_notice
+{
+    digest content = 0;
+    bool operator==(const quarantine_notice &) const = default;
+};
+
+struct leaving_notice
+{
+    std::string endpoint;
+    bool operator==(const leaving_notice &) const = default;
+};
+
+struct configuration_hint
+{
+    log_offset version = 0;
+    bool operator==(const configuration_hint &) const = default;
+};
+
+using peer_message = std::variant<hello, heartbeat, forward_call, forward_chunk, forward_end, forward_cancel,
+                                  quarantine_notice, leaving_notice, configuration_hint>;
+
+[[nodiscard]] std::string encodeFrame(const peer_message &message);
+
+// Cuts a byte stream into messages. Holds at most one incomplete frame.
+class frame_reader
+{
+public:
+    void append(std::string_view bytes);
+    // The next complete message, or nothing until more bytes arrive. Throws error(MalformedRequest) if the bytes are
+    // not a valid frame; the reader is then of no further use.
+    [[nodiscard]] std::optional<peer_message> next();
+
+private:
+    std::string m_buffer;
+};
+
+} // namespace jackdawpick
