--- a/src/core/events.h
+++ b/src/core/events.h
@@ -204,6 +204,7 @@
 struct send_to_peer
 {
     std::string peer;
+    std::string address; // "ip:port", to open a link if there is none.
     peer_message message;
 };
 
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -29,6 +29,7 @@
     std::string stream;
     log_offset from = 1;
     std::uint32_t limit = 0; // Batches.
+    std::uint64_t tag = 0; // Copied into the answer; 0 for reads by log_stream.
 };
 
 using log_request = std::variant<append_request, read_request>;
@@ -50,6 +51,7 @@
 struct read_result
 {
     std::string stream;
+    std::uint64_t tag = 0;
     bool ok = false;
     std::vector<raw_record> records;
     log_offset first = 1;
--- a/src/model/model.cc
+++ b/src/model/model.cc
@@ -43,7 +43,17 @@
 
 shard_index shardOf(const program_key &key)
 {
-    return mintedShard(key.program).value_or(static_cast<shard_index>(hashKey(key) % shardCount));
+    const program_key root{key.customer, key.program.substr(0, key.program.find(subAgentSeparator))};
+    return mintedShard(root.program).value_or(static_cast<shard_index>(hashKey(root) % shardCount));
+}
+
+std::optional<program_key> parentOf(const program_key &key)
+{
+    const auto separator = key.program.rfind(subAgentSeparator);
+    if (separator == std::string::npos) {
+        return std::nullopt;
+    }
+    return program_key{key.customer, key.program.substr(0, separator)};
 }
 
 std::string mintProgramId(shard_index shard, std::uint64_t incarnation, std::uint64_t sequence)
--- a/src/model/model.h
+++ b/src/model/model.h
@@ -56,9 +56,16 @@
 
 [[nodiscard]] std::string toString(const program_key &key); // "customer/program"
 
-// The shard named by a minted id ("s17.…") or the hash of customer and program for any other id.
+// Separates the id of a sub-agent from that of its parent: "order-17~plan".
+inline constexpr char subAgentSeparator = '~';
+
+// The shard named by a minted id ("s17.…") or the hash of customer and program for any other id. Only the part before
+// the first subAgentSeparator counts, so that sub-agents live in the shard of their parent.
 [[nodiscard]] shard_index shardOf(const program_key &key);
 
+// The program without its last sub-agent part; nothing for a program that is no sub-agent.
+[[nodiscard]] std::optional<program_key> parentOf(const program_key &key);
+
 // A program id that falls into `shard`; unique as long as (incarnation, sequence) is.
 [[nodiscard]] std::string mintProgramId(shard_index shard, std::uint64_t incarnation, std::uint64_t sequence);
 
@@ -130,7 +137,7 @@
     std::string path;
     std::shared_ptr<const std::string> body;
     digest contentDigest = 0; // Of what the endpoint is asked for; equal for a resend of the same turn.
-    std::vector<message> newMessages; // Messages after the last answer, kept in the journal for the history.
+    std::shared_ptr<const std::vector<message>> messages; // Whole history of a model call; null for service calls.
     call_kind kind;
 };
 
--- a/src/model/model_test.cc
+++ b/src/model/model_test.cc
@@ -21,6 +21,15 @@
     }
 }
 
+// Guards against a sub-agent whose budget is carved out in a shard that another daemon owns.
+TEST(Model, SubAgentsLiveInTheShardOfTheirParent)
+{
+    const program_key child{"wanza", "order-17~plan~detail"};
+    EXPECT_EQ(shardOf(child), shardOf({"wanza", "order-17"}));
+    EXPECT_EQ(parentOf(child), (program_key{"wanza", "order-17~plan"}));
+    EXPECT_FALSE(parentOf({"wanza", "order-17"}).has_value());
+}
+
 // Guards against programs of two customers with the same id sharing state or a hash by construction.
 TEST(Model, CustomerIsPartOfTheKey)
 {
--- /dev/null
+++ b/src/receipts/receipts_test.cc
@@ -0,0 +1,46 @@
+#include "receipts/receipts.h"
+
+#include <gtest/gtest.h>
+
+namespace jackdawpick
+{
+
+namespace
+{
+
+const receipt example{.program = {"wanza", "s17.1.2"},
+                      .turn = 4,
+                      .history = {0x1234, 900},
+                      .messageCount = 9,
+                      .budget = 5000,
+                      .spent = 1200,
+                      .carved = 100,
+                      .attainedService = 1100,
+                      .rank = 1,
+                      .token = 77};
+
+} // namespace
+
+TEST(Receipts, RoundTrip)
+{
+    EXPECT_EQ(readReceipt(signReceipt(example, "secret"), "secret"), example);
+}
+
+// Guards against a caller that changes its budget or turn, or presents a receipt of another installation.
+TEST(Receipts, AnyChangedCharacterOrOtherKeyIsRefused)
+{
+    const std::string text = signReceipt(example, "secret");
+    EXPECT_FALSE(readReceipt(text, "other").has_value());
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        std::string changed = text;
+        // The last character of a base64 block may carry unused bits; a change there need not change the bytes.
+        changed[i] = changed[i] == 'A' ? 'B' : 'A';
+        const auto read = readReceipt(changed, "secret");
+        EXPECT_TRUE(!read.has_value() || *read == example) << i;
+    }
+    EXPECT_FALSE(readReceipt("", "secret").has_value());
+    EXPECT_FALSE(readReceipt(".", "secret").has_value());
+    EXPECT_FALSE(readReceipt("a.b.c", "secret").has_value());
+}
+
+} // namespace jackdawpick
--- a/src/results/results.cc
+++ b/src/results/results.cc
@@ -84,6 +84,8 @@
                        "The log does not answer and the call needs it; send it again."},
     result_description{result_code::NotReady, "NotReady", NotRun, Later, 503,
                        "The daemon is starting; use another entry address."},
+    result_description{result_code::OwnedElsewhere, "OwnedElsewhere", NotRun, Later, 421,
+                       "Ask the daemon whose address the message names."},
     result_description{result_code::ConfigurationInvalid, "ConfigurationInvalid", NotRun, Never, 422,
                        "Correct the configuration; the message lists each error."},
     result_description{result_code::ConfigurationConflict, "ConfigurationConflict", NotRun, Never, 409,
--- a/src/results/results.h
+++ b/src/results/results.h
@@ -65,6 +65,7 @@
     OwnerUnreachable = 501,
     LogUnavailable = 502,
     NotReady = 503,
+    OwnedElsewhere = 504,
     ConfigurationInvalid = 600,
     ConfigurationConflict = 601,
     SettingsInvalid = 602,
