Add endpoint table, cache directory and scheduler

Shares are kept on calls in flight per rank, since service is the time that calls occupy slots; the endpoint table counts them, so that every end of a call is covered without a further interface.

--- a/src/cache/cache.h
+++ b/src/cache/cache.h
@@ -9,6 +9,10 @@
 
 #include "endpoints/endpoints.h"
 
+#include <map>
+#include <set>
+#include <unordered_map>
+
 namespace jackdawpick
 {
 
@@ -24,6 +28,18 @@
     std::chrono::milliseconds maxReleaseRetry{30000};
     std::chrono::milliseconds releaseTimeout{5000};
     std::uint32_t maxReleasesInFlight = 64;
+    std::chrono::milliseconds eventLag{2000}; // Cache events describe a state at most this old.
+};
+
+// A prefix that an endpoint is believed to hold.
+struct held_prefix
+{
+    std::uint32_t endpoint = 0; // Index for cache_directory::endpointName().
+    std::uint32_t generation = 0; // Of the endpoint; an older one means that the endpoint has lost its cache.
+    std::uint32_t gaps = 0; // Gaps in the endpoint's events when this was last confirmed.
+    bool awaitsStored = false; // Served, and the engine's own event has not come yet.
+    token_count tokens = 0;
+    time_point servedAt;
 };
 
 class cache_directory
@@ -42,6 +58,12 @@
     // Tokens of the program's history that the endpoint is believed to hold.
     [[nodiscard]] token_count cachedTokens(const program_key &key, const std::string &endpoint) const;
     [[nodiscard]] std::vector<std::string> holders(const program_key &key) const;
+    // Without allocation, for decisions: the program's prefixes, some of which may be stale (see heldTokens()).
+    [[nodiscard]] std::span<const held_prefix> held(const program_key &key) const;
+    // Tokens of a prefix: 0 if the endpoint was replaced, half after a gap in its events, since an eviction may be
+    // lost.
+    [[nodiscard]] token_count heldTokens(const held_prefix &prefix) const;
+    [[nodiscard]] const std::string &endpointName(std::uint32_t endpoint) const;
     // Restores what the journal says after a takeover.
     void restore(const program_key &key, const std::vector<std::string> &endpoints, token_count tokens, time_point now);
 
@@ -52,6 +74,39 @@
     bool onReleased(const cache_release &release, bool acknowledged, time_point now);
     [[nodiscard]] std::vector<cache_release> pendingReleases() const;
     [[nodiscard]] std::optional<time_point> nextDeadline() const;
+
+private:
+    struct endpoint_state
+    {
+        std::string name;
+        std::uint32_t generation = 0;
+        std::uint32_t gaps = 0;
+        std::uint64_t lastSequence = 0; // 0 before the first event.
+    };
+    struct release_state
+    {
+        time_point due; // Of the next attempt; while in flight, when the attempt counts as lost.
+        std::chrono::milliseconds delay{0};
+        bool inFlight = false;
+    };
+    using release_key = std::pair<std::string, std::string>; // Endpoint, program.
+    using release_map = std::map<release_key, release_state>;
+
+    std::uint32_t indexOf(const std::string &endpoint);
+    [[nodiscard]] held_prefix *find(const program_key &key, std::uint32_t endpoint);
+    // The known program that toString() prints as `text`; null if there is none.
+    [[nodiscard]] const program_key *findProgram(const std::string &text) const;
+    void applyEvent(std::uint32_t endpoint, const cache_event &event, time_point now);
+    void schedule(release_map::iterator release, time_point due, bool inFlight);
+    void unschedule(release_map::iterator release);
+
+    cache_options m_options;
+    std::vector<endpoint_state> m_endpoints;
+    std::unordered_map<std::string, std::uint32_t> m_endpointIndex;
+    std::unordered_map<program_key, std::vector<held_prefix>> m_programs;
+    release_map m_releases;
+    std::set<std::pair<time_point, release_key>> m_due; // Releases that wait for their next attempt.
+    std::set<std::pair<time_point, release_key>> m_sent; // Releases in flight, by their timeout.
 };
 
 } // namespace jackdawpick
--- /dev/null
+++ b/src/scheduler/internal/admission.h
@@ -0,0 +1,29 @@
+#pragma once
+
+// Wait estimates and the verdict of admission policies.
+
+#include "scheduler/internal/waiting_queue.h"
+
+namespace jackdawpick::internal
+{
+
+// What an admission policy sees of a call's pool.
+struct admission_request
+{
+    const waiting_call &call;
+    const endpoint_table &table;
+    pool_queue &queue;
+    const std::vector<rank_policy> &ranks;
+    time_point now;
+};
+
+// Seconds until a new call of this rank would be dispatched: calls of its rank and of more urgent ones that wait now,
+// over the rate at which this daemon has lately dispatched calls of this and of less urgent ranks.
+[[nodiscard]] double estimatedWaitSeconds(const admission_request &what);
+
+[[nodiscard]] std::optional<refusal> admitBy(const admission_policy &policy, const admission_request &what);
+
+// Retry time for a refused call: until the calls refused lately can be served besides the waiting ones.
+[[nodiscard]] std::chrono::milliseconds retryTime(const target_admission &policy, const admission_request &what);
+
+} // namespace jackdawpick::internal
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -21,15 +21,15 @@
     std::uint64_t handle = 0;
     program_key program;
     rank_index rank = 0;
-    std::string pool;
-    std::string zone; // Of this daemon.
+    std::string pool{};
+    std::string zone{}; // Of this daemon.
     token_count promptTokens = 0;
     token_count maxTokens = 0;
     token_count attainedService = 0; // Of the whole program, sub-agents included.
     digest content = 0;
     time_point arrived;
     time_point deadline;
-    std::vector<endpoint_id> excluded; // Already tried by this call.
+    std::vector<endpoint_id> excluded{}; // Already tried by this call.
 };
 
 struct assignment
@@ -37,6 +37,8 @@
     std::uint64_t handle = 0;
     endpoint_id endpoint{};
     token_count expectedCachedTokens = 0;
+    // For the engine, 0 the most urgent: the call's rank, or 0 for a call that its rank's minimum share lets through.
+    rank_index priority = 0;
 };
 
 // Calls whose deadline or queue target passed while they waited; they did not run.
@@ -75,6 +77,10 @@
     [[nodiscard]] std::size_t waiting() const;
     [[nodiscard]] std::size_t waiting(rank_index rank) const;
     [[nodiscard]] std::optional<time_point> nextDeadline() const;
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> m_impl;
 };
 
 } // namespace jackdawpick
--- /dev/null
+++ b/src/scheduler/scheduler_benchmark.cc
@@ -0,0 +1,3 @@
+#include "scheduler/scheduler.h"
+
+#include <benchmark/benchmark.h>
