--- a/src/core/queries.cc
+++ b/src/core/queries.cc
@@ -199,7 +199,7 @@
     }
     closeProgram(query.program, close_reason::Requested);
     pending_answer pending{.request = query.request, .body = {{"closed", true}}, .deadline = now + answerBound};
-    const auto last = journal.lastSubmitted();
+    const auto last = journal.nextSequence() - 1;
     if (logDown()) {
         answer(pending.request, {{"closed", true}, {"durable", false}});
     } else if (journal.unconfirmedRecords() == 0) {
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -92,7 +92,6 @@
     // Buffers a record and returns its sequence number. The caller asks full() first; records beyond the bound are
     // still accepted, so that settling calls already in flight never fails.
     std::uint64_t submit(log_record record, time_point now);
-    [[nodiscard]] std::uint64_t lastSubmitted() const; // Sequence number of the newest record; 0 before the first.
     [[nodiscard]] bool full() const;
 
     // Requests that are due at `now`.
