Add records codec, log stream and an in-memory log for tests

The ledger, the dispatcher and ownership need batches in the log and a client that survives lost answers.

records: FlatBuffers schema with committed generated code; decodeBatch verifies and then checks enumerators and shard numbers. shard_claimed gets renewedAsOf, so that a renewal can be told from a claim.

--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -81,7 +81,9 @@
 class log_stream
 {
 public:
-    log_stream(std::string name, daemon_identity self, stream_options options);
+    // `firstSequence` continues the numbers of an earlier object of this incarnation on the same stream; starting again
+    // at 1 would make readers drop the records as repeated.
+    log_stream(std::string name, daemon_identity self, stream_options options, std::uint64_t firstSequence = 1);
 
     [[nodiscard]] const std::string &name() const;
 
@@ -113,7 +115,89 @@
     [[nodiscard]] log_offset readPosition() const; // Offset of the next batch to read.
     [[nodiscard]] std::optional<time_point> nextDeadline() const;
 
+    // Sequence number that the next submitted record will get.
+    [[nodiscard]] std::uint64_t nextSequence() const;
+
     void setMinAppendInterval(std::chrono::milliseconds interval);
+
+private:
+    struct buffered_record
+    {
+        std::uint64_t sequence = 0;
+        std::size_t bytes = 0;
+        log_record record;
+    };
+
+    // A batch that has been sent at least once. It keeps its bytes on a resend: readers drop the repeat by its sequence
+    // numbers, so a changed batch under the same numbers would lose records.
+    struct offered_batch
+    {
+        std::uint64_t firstSequence = 0;
+        std::uint64_t lastSequence = 0;
+        std::size_t bytes = 0;
+        std::string payload;
+        time_point firstSent;
+    };
+
+    // State of the offered batch.
+    enum class offer_state : std::uint8_t {
+        None,
+        Sent, // The answer to the append is outstanding.
+        Searching, // Answered, failed or lost; a read begun after that decides whether the batch is in the stream.
+        Absent, // Not in the stream; to be sent again.
+    };
+
+    // Delay after consecutive failures of one kind of request.
+    struct failure_state
+    {
+        std::uint32_t count = 0;
+        time_point retryAt;
+        std::optional<time_point> since;
+    };
+
+    void fail(failure_state &state, time_point now) const;
+    void expireAnswers(time_point now);
+    void appendFailed(time_point now);
+    void readFailed(time_point now);
+    void beginSearch();
+    [[nodiscard]] bool appendWaiting() const;
+    [[nodiscard]] time_point appendDue() const;
+    [[nodiscard]] std::optional<time_point> readDue() const;
+    void offerBatch(time_point now);
+    void deliver(const raw_record &raw, std::vector<stream_record> &out, time_point now);
+    void confirmThrough(std::uint64_t sequence, time_point now);
+    void forgetExpiredWriters(log_offset first);
+
+    struct writer_mark
+    {
+        std::uint64_t sequence = 0; // Highest one delivered.
+        log_offset offset = 0;
+    };
+
+    std::string m_name;
+    daemon_identity m_self;
+    stream_options m_options;
+
+    std::uint64_t m_nextSequence = 1;
+    std::deque<buffered_record> m_pending;
+    std::size_t m_pendingBytes = 0;
+    std::optional<offered_batch> m_offered;
+    offer_state m_offerState = offer_state::None;
+    std::optional<time_point> m_appendStarted; // Set while an append is in flight.
+    std::optional<time_point> m_lastAppend;
+    failure_state m_appendFailures;
+    duration m_commitAverage{0};
+
+    log_offset m_position = 1;
+    std::map<daemon_identity, writer_mark> m_writers;
+    std::optional<time_point> m_readStarted; // Set while a read is in flight.
+    std::optional<time_point> m_lastRead;
+    bool m_readWanted = false;
+    bool m_readDecidesSearch = false; // The read in flight began after the search did.
+    failure_state m_readFailures;
+    bool m_hasRead = false;
+    bool m_caughtUp = false;
+    bool m_missedRecords = false;
 };
 
 } // namespace jackdawpick
--- a/src/records/records.h
+++ b/src/records/records.h
@@ -153,6 +153,8 @@
 };
 
 // In stream `ownership`. Counts for a shard only if `expected` equals the shard's current fence in log order.
+// With `renewedAsOf` the record is a renewal: it changes no fence and states that after reading the stream through that
+// offset the shards were owned by `by` with the fences in `expected`, for readers whose part of the stream has expired.
 struct shard_claimed
 {
     std::vector<shard_fence> expected; // token 0: never claimed.
@@ -161,6 +163,7 @@
     std::string httpAddress;
     std::string peerAddress;
     std::string zone;
+    log_offset renewedAsOf = 0; // 0: a claim.
     bool operator==(const shard_claimed &) const = default;
 };
 
