net: add the libwebsockets loop with HTTP server, client, TCP and timers

The HTTP roles of libwebsockets 4.1 close malformed, slow and oversized clients without an answer and do not tell whether bytes of a request were sent. Connections therefore use its raw role, and the parser of Boost.Beast (package libboost-dev, already required) reads the messages.

--- /dev/null
+++ b/src/net/internal/http_client.cc
@@ -0,0 +1,323 @@
+#include "net/internal/http_client.h"
+
+#include <fmt/format.h>
+#include <limits>
+
+namespace jackdawpick::net::internal
+{
+
+namespace
+{
+
+constexpr std::uint32_t maxHeaderBytes = 16384;
+// Collected bodies are bounded by message_parser. The parser of Boost 1.74 refuses every Content-Length if it is given
+// no limit at all.
+constexpr std::uint64_t noLimit = std::numeric_limits<std::uint64_t>::max();
+constexpr std::size_t maxIdlePerAddress = 32;
+// Below the time after which servers usually close idle connections, so that they rarely do it first.
+constexpr std::chrono::seconds idleTime{4};
+
+std::string requestText(const client_request &request)
+{
+    std::string text = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", request.method, request.path, request.address);
+    for (const auto &[name, value] : request.headers) {
+        text += fmt::format("{}: {}\r\n", name, value);
+    }
+    if (!request.reuseConnection) {
+        text += "Connection: close\r\n";
+    }
+    if (!request.body.empty() || request.method != "GET") {
+        text += fmt::format("Content-Length: {}\r\n", request.body.size());
+    }
+    return text + "\r\n";
+}
+
+} // namespace
+
+http_exchange::http_exchange(http_client &client, transport &owner, client_id id, client_request request,
+                             result_handler onResult, chunk_handler onChunk)
+    : m_client(client)
+    , m_id(id)
+    , m_request(std::move(request))
+    , m_onResult(std::move(onResult))
+    , m_onChunk(std::move(onChunk))
+    , m_timeout(owner, [this] { onTimeout(); })
+    , m_silence(owner, [this] { onSilence(); })
+{
+    m_parser.header_limit(maxHeaderBytes);
+    m_parser.body_limit(noLimit);
+    m_parser.eager(true);
+    m_parser.skip(m_request.method == "HEAD");
+    m_timeout.start(m_request.timeout);
+}
+
+void http_exchange::start(connection_ptr link)
+{
+    m_link = std::move(link);
+    m_handedBefore = m_link->handedBytes();
+    m_link->setEvents(this);
+    restartSilence();
+    if (m_link->isOpen()) {
+        sendRequest();
+    }
+}
+
+void http_exchange::onOpen()
+{
+    sendRequest();
+}
+
+void http_exchange::sendRequest()
+{
+    m_link->send(requestText(m_request));
+    m_link->send(std::move(m_request.body));
+}
+
+void http_exchange::onReceived(std::string_view bytes)
+{
+    const auto alive = shared_from_this();
+    restartSilence();
+    m_input.append(bytes);
+    parse();
+}
+
+void http_exchange::parse()
+{
+    while (m_link != nullptr && !m_input.empty() && !m_parser.is_done()) {
+        const bool hadHeader = m_parser.is_header_done();
+        boost::beast::error_code failure;
+        if (!hadHeader) {
+            m_parser.eager(false); // Stops after the header, so that the status decides where the body goes.
+        }
+        const auto used = m_parser.put(boost::asio::const_buffer(m_input.data(), m_input.size()), failure);
+        m_parser.eager(true);
+        m_input.erase(0, used);
+        if (failure && failure != beast_http::error::need_more) {
+            finish(client_error::ConnectionLost);
+            return;
+        }
+        if (!hadHeader && m_parser.is_header_done() && m_onChunk && m_parser.status / 100 == 2) {
+            m_parser.sink = [this](std::string_view part) {
+                passBody(part);
+            };
+        }
+        if (used == 0) {
+            break;
+        }
+    }
+    if (m_link != nullptr && m_parser.is_done()) {
+        complete();
+    }
+}
+
+void http_exchange::passBody(std::string_view bytes)
+{
+    if (m_link != nullptr) { // The handler may have cancelled after an earlier part.
+        m_onChunk(bytes);
+    }
+}
+
+void http_exchange::complete()
+{
+    const bool reusable = m_request.reuseConnection && m_parser.keep_alive() && m_input.empty() && m_link->isOpen()
+        && m_link->pending() == 0;
+    if (reusable) {
+        auto link = m_link;
+        link->setEvents(nullptr);
+        m_client.keep(m_request.address, std::move(link));
+    } else {
+        m_link->close();
+    }
+    finish(client_error::None);
+}
+
+void http_exchange::onWritten()
+{
+    restartSilence();
+}
+
+void http_exchange::onClosed()
+{
+    const auto alive = shared_from_this();
+    if (m_parser.is_header_done() && !m_parser.is_done()) {
+        boost::beast::error_code failure;
+        m_parser.put_eof(failure); // Completes a body that is delimited by the end of the connection.
+        if (!failure && m_parser.is_done()) {
+            complete();
+            return;
+        }
+    }
+    finish(bytesSent() ? client_error::ConnectionLost : client_error::ConnectFailed);
+}
+
+void http_exchange::onSilence()
+{
+    const bool connected = m_link != nullptr && m_link->isOpen();
+    finish(connected ? client_error::Silent : client_error::ConnectFailed);
+}
+
+void http_exchange::onTimeout()
+{
+    finish(client_error::Timeout);
+}
+
+void http_exchange::fail(client_error reason)
+{
+    finish(reason);
+}
+
+void http_exchange::cancel()
+{
+    m_timeout.stop();
+    m_silence.stop();
+    m_onResult = {};
+    if (auto link = std::exchange(m_link, nullptr)) {
+        link->close();
+    }
+}
+
+void http_exchange::finish(client_error reason)
+{
+    if (!m_onResult) {
+        return;
+    }
+    const auto alive = shared_from_this();
+    client_result result;
+    result.error = reason;
+    result.bytesSent = bytesSent();
+    result.status = static_cast<std::uint16_t>(m_parser.status);
+    result.headers = std::move(m_parser.headers);
+    result.body = std::move(m_parser.body);
+    const auto handler = std::exchange(m_onResult, {});
+    const auto link = std::exchange(m_link, nullptr);
+    if (reason != client_error::None && link != nullptr) {
+        link->close();
+    }
+    m_timeout.stop();
+    m_silence.stop();
+    m_client.m_exchanges.erase(static_cast<std::uint64_t>(m_id));
+    handler(std::move(result));
+}
+
+void http_exchange::restartSilence()
+{
+    if (m_request.silence.count() > 0 && m_onResult) {
+        m_silence.start(m_request.silence);
+    }
+}
+
+bool http_exchange::bytesSent() const
+{
+    return m_link != nullptr && m_link->handedBytes() > m_handedBefore;
+}
+
+idle_connection::idle_connection(http_client &client, transport &owner, std::string address, connection_ptr link)
+    : m_client(client)
+    , m_address(std::move(address))
+    , m_link(std::move(link))
+    , m_expiry(owner, [this] { discard(); })
+{
+    m_link->setEvents(this);
+    m_expiry.start(idleTime);
+}
+
+connection_ptr idle_connection::take()
+{
+    m_link->setEvents(nullptr);
+    return std::move(m_link);
+}
+
+void idle_connection::onReceived(std::string_view /*bytes*/)
+{
+    discard(); // A byte without a request: the connection cannot be trusted any more.
+}
+
+void idle_connection::onClosed()
+{
+    m_client.forget(m_address, this);
+}
+
+void idle_connection::discard()
+{
+    m_link->close();
+    m_client.forget(m_address, this);
+}
+
+http_client::http_client(transport &owner, loop_counters &counters)
+    : m_transport(owner)
+    , m_counters(counters)
+{
+}
+
+client_id http_client::request(client_request request, result_handler onResult, chunk_handler onChunk)
+{
+    const client_id id{++m_lastId};
+    ++m_counters.clientRequests;
+    auto exchange =
+        std::make_shared<http_exchange>(*this, m_transport, id, request, std::move(onResult), std::move(onChunk));
+    m_exchanges.emplace(static_cast<std::uint64_t>(id), exchange);
+    begin(exchange, request);
+    return id;
+}
+
+void http_client::begin(const std::shared_ptr<http_exchange> &exchange, const client_request &request)
+{
+    connection_ptr link = request.reuseConnection ? takeIdle(request.address) : nullptr;
+    if (link == nullptr) {
+        link = m_transport.connect(request.address, exchange.get());
+    }
+    if (link != nullptr) {
+        exchange->start(std::move(link));
+        return;
+    }
+    m_transport.post([weak = std::weak_ptr(exchange)] {
+        if (const auto self = weak.lock()) {
+            self->fail(client_error::ConnectFailed);
+        }
+    });
+}
+
+void http_client::cancel(client_id id)
+{
+    if (const auto node = m_exchanges.extract(static_cast<std::uint64_t>(id))) {
+        node.mapped()->cancel();
+    }
+}
+
+connection_ptr http_client::takeIdle(const std::string &address)
+{
+    const auto found = m_idle.find(address);
+    if (found == m_idle.end()) {
+        return nullptr;
+    }
+    connection_ptr link = found->second.back()->take();
+    found->second.pop_back();
+    if (found->second.empty()) {
+        m_idle.erase(found);
+    }
+    return link;
+}
+
+void http_client::keep(const std::string &address, connection_ptr link)
+{
+    auto &idle = m_idle[address];
+    if (idle.size() >= maxIdlePerAddress) {
+        link->close();
+        return;
+    }
+    idle.push_back(std::make_unique<idle_connection>(*this, m_transport, address, std::move(link)));
+}
+
+void http_client::forget(const std::string &address, const idle_connection *which)
+{
+    const auto found = m_idle.find(address);
+    if (found == m_idle.end()) {
+        return;
+    }
+    std::erase_if(found->second, [which](const auto &entry) { return entry.get() == which; });
+    if (found->second.empty()) {
+        m_idle.erase(found);
+    }
+}
+
+} // namespace jackdawpick::net::internal
--- /dev/null
+++ b/src/net/internal/http_client.h
@@ -0,0 +1,97 @@
+#pragma once
+
+// The client side of HTTP/1.1: one exchange per request, idle connections kept for requests that allow reuse.
+
+#include "net/internal/message_parser.h"
+#include "net/internal/transport.h"
+#include "net/net.h"
+
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace jackdawpick::net::internal
+{
+
+class http_client;
+
+class http_exchange final : public connection_events, public std::enable_shared_from_this<http_exchange>
+{
+public:
+    http_exchange(http_client &client, transport &owner, client_id id, client_request request, result_handler onResult,
+                  chunk_handler onChunk);
+
+    void start(connection_ptr link);
+    void fail(client_error reason);
+    void cancel();
+
+private:
+    void onOpen() override;
+    void onReceived(std::string_view bytes) override;
+    void onWritten() override;
+    void onClosed() override;
+    void onSilence();
+    void onTimeout();
+    void sendRequest();
+    void parse();
+    void passBody(std::string_view bytes);
+    void complete();
+    void finish(client_error reason);
+    void restartSilence();
+    [[nodiscard]] bool bytesSent() const;
+
+    http_client &m_client;
+    client_id m_id;
+    client_request m_request;
+    result_handler m_onResult;
+    chunk_handler m_onChunk;
+    connection_ptr m_link;
+    std::uint64_t m_handedBefore = 0; // By earlier exchanges on the same connection.
+    message_parser<false> m_parser;
+    std::string m_input;
+    timer m_timeout;
+    timer m_silence;
+};
+
+// A connection that waits for its next exchange.
+class idle_connection final : public connection_events
+{
+public:
+    idle_connection(http_client &client, transport &owner, std::string address, connection_ptr link);
+    connection_ptr take();
+
+private:
+    void onReceived(std::string_view bytes) override;
+    void onClosed() override;
+    void discard();
+
+    http_client &m_client;
+    std::string m_address;
+    connection_ptr m_link;
+    timer m_expiry;
+};
+
+class http_client
+{
+public:
+    http_client(transport &owner, loop_counters &counters);
+
+    client_id request(client_request request, result_handler onResult, chunk_handler onChunk);
+    void cancel(client_id id);
+
+private:
+    friend class http_exchange;
+    friend class idle_connection;
+    void begin(const std::shared_ptr<http_exchange> &exchange, const client_request &request);
+    connection_ptr takeIdle(const std::string &address);
+    void keep(const std::string &address, connection_ptr link);
+    void forget(const std::string &address, const idle_connection *which);
+
+    transport &m_transport;
+    loop_counters &m_counters;
+    std::uint64_t m_lastId = 0;
+    std::unordered_map<std::uint64_t, std::shared_ptr<http_exchange>> m_exchanges;
+    std::map<std::string, std::vector<std::unique_ptr<idle_connection>>, std::less<>> m_idle;
+};
+
+} // namespace jackdawpick::net::internal
--- /dev/null
+++ b/src/net/internal/http_server.cc
@@ -0,0 +1,328 @@
+#include "net/internal/http_server.h"
+
+#include "net/internal/refusal_text.h"
+
+#include <boost/beast/http/status.hpp>
+#include <fmt/format.h>
+
+namespace jackdawpick::net::internal
+{
+
+namespace
+{
+
+constexpr std::uint32_t maxHeaderBytes = 16384;
+constexpr std::size_t maxPipelinedBytes = 65536;
+constexpr std::size_t maxRefusedConnections = 64; // Connections beyond the limit that still get an answer.
+// Time for a client to read its last answer while further input is discarded; closing at once would reset the
+// connection and could destroy the answer on its way.
+constexpr std::chrono::seconds closingTime{2};
+
+std::string_view reasonOf(std::uint16_t status)
+{
+    const auto reason = beast_http::obsolete_reason(static_cast<beast_http::status>(status));
+    return {reason.data(), reason.size()};
+}
+
+} // namespace
+
+http_session::http_session(http_server &server, transport &owner, connection_ptr link)
+    : m_server(server)
+    , m_transport(owner)
+    , m_link(std::move(link))
+    , m_readTimer(owner, [this] { onReadTimeout(); })
+    , m_writeTimer(owner, [this] { drop(); })
+{
+    m_link->setEvents(this);
+}
+
+void http_session::start()
+{
+    m_started = true;
+    m_readTimer.start(m_server.m_options.requestTimeout);
+}
+
+void http_session::refuse(result_code code, const std::string &message)
+{
+    const auto &row = describe(code);
+    m_keepAlive = false;
+    m_phase = phase::Answering;
+    respond({.status = row.httpStatus, .contentType = "application/json", .headers = retryHeaders(row)},
+            refusalText(row, message));
+}
+
+void http_session::onReceived(std::string_view bytes)
+{
+    if (m_phase == phase::Closing) {
+        return;
+    }
+    if (m_phase == phase::Answering && m_input.size() + bytes.size() > maxPipelinedBytes) {
+        drop();
+        return;
+    }
+    m_input.append(bytes);
+    if (m_phase == phase::Reading) {
+        if (!m_started) {
+            start();
+        }
+        parse();
+    }
+}
+
+void http_session::parse()
+{
+    const auto alive = shared_from_this();
+    while (m_phase == phase::Reading && !m_input.empty() && parseStep()) { }
+}
+
+// Returns false when more input is needed.
+bool http_session::parseStep()
+{
+    if (!m_parser) {
+        m_parser = std::make_unique<parser>();
+        m_parser->header_limit(maxHeaderBytes);
+        m_parser->body_limit(m_server.m_options.maxBodyBytes);
+        m_parser->eager(true);
+        m_headerDone = false;
+    }
+    boost::beast::error_code failure;
+    const std::size_t used = m_parser->put(boost::asio::const_buffer(m_input.data(), m_input.size()), failure);
+    m_input.erase(0, used);
+    m_server.m_bodyBytes += m_parser->body.size() - m_bodyBytes;
+    m_bodyBytes = m_parser->body.size();
+    if (failure && failure != beast_http::error::need_more) {
+        refuseParsed(failure);
+        return false;
+    }
+    if (m_server.m_bodyBytes > m_server.m_options.maxBufferedBytes) {
+        refuse(result_code::TooManyConnections, "too many request bodies are arriving at the same time");
+        return false;
+    }
+    if (m_parser->is_done()) {
+        dispatch();
+        return true;
+    }
+    if (m_parser->is_header_done() && !m_headerDone) {
+        m_headerDone = true;
+        afterHeader();
+    }
+    return !failure && used > 0;
+}
+
+void http_session::afterHeader()
+{
+    if (headerValue(m_parser->headers, "expect") == "100-continue") {
+        m_link->send("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+}
+
+void http_session::refuseParsed(const boost::beast::error_code &failure)
+{
+    if (failure == beast_http::error::header_limit) {
+        refuse(result_code::RequestTooLarge, fmt::format("the header exceeds {} bytes", maxHeaderBytes));
+    } else if (failure == beast_http::error::body_limit) {
+        refuse(result_code::RequestTooLarge, fmt::format("the body exceeds {} bytes", m_server.m_options.maxBodyBytes));
+    } else {
+        refuse(result_code::MalformedRequest, fmt::format("not a valid HTTP request: {}", failure.message()));
+    }
+}
+
+void http_session::dispatch()
+{
+    m_readTimer.stop();
+    releaseBody();
+    const auto done = std::move(m_parser);
+    m_keepAlive = done->keep_alive();
+    m_chunked = done->version >= 11;
+    m_headOnly = done->method == "HEAD";
+    m_phase = phase::Answering;
+    m_request = ++m_server.m_requests.lastId;
+    m_server.m_requests.sessions.emplace(m_request, shared_from_this());
+    ++m_server.m_counters.httpRequests;
+    const auto mark = done->target.find('?');
+    m_server.m_handler({.id = request_id{m_request},
+                        .method = std::move(done->method),
+                        .path = done->target.substr(0, mark),
+                        .query = mark == std::string::npos ? std::string() : done->target.substr(mark + 1),
+                        .body = std::move(done->body),
+                        .headers = std::move(done->headers)});
+}
+
+std::string http_session::headText(const http_head &head) const
+{
+    std::string text =
+        fmt::format("HTTP/1.1 {} {}\r\nContent-Type: {}\r\n", head.status, reasonOf(head.status), head.contentType);
+    for (const auto &[name, value] : head.headers) {
+        text += fmt::format("{}: {}\r\n", name, value);
+    }
+    if (!m_keepAlive) {
+        text += "Connection: close\r\n";
+    }
+    return text;
+}
+
+void http_session::respond(const http_head &head, const std::string &body)
+{
+    if (m_phase != phase::Answering) {
+        return;
+    }
+    m_link->send(fmt::format("{}Content-Length: {}\r\n\r\n{}", headText(head), body.size(),
+                             m_headOnly ? std::string_view() : std::string_view(body)));
+    finishAnswer();
+}
+
+void http_session::beginStream(const http_head &head)
+{
+    m_keepAlive = m_keepAlive && m_chunked;
+    m_link->send(headText(head) + (m_chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n"));
+    m_writeTimer.start(m_server.m_options.writeTimeout);
+}
+
+void http_session::writeStream(std::string_view bytes)
+{
+    if (m_phase != phase::Answering || bytes.empty()) {
+        return;
+    }
+    if (m_link->pending() == 0) {
+        m_writeTimer.start(m_server.m_options.writeTimeout);
+    }
+    m_link->send(m_chunked ? fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes) : std::string(bytes));
+    if (m_link->pending() > m_server.m_options.maxUnsentBytes) {
+        // Not from within the call of the writer, who learns of it through `disconnected`.
+        m_transport.post([weak = weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                self->drop();
+            }
+        });
+    }
+}
+
+void http_session::endStream()
+{
+    if (m_phase == phase::Answering) {
+        m_link->send(m_chunked ? "0\r\n\r\n" : "");
+        finishAnswer();
+    }
+}
+
+std::size_t http_session::buffered() const
+{
+    return m_link->pending();
+}
+
+void http_session::finishAnswer()
+{
+    m_server.m_requests.sessions.erase(std::exchange(m_request, 0));
+    m_writeTimer.start(m_server.m_options.writeTimeout);
+    if (!m_keepAlive) {
+        startClosing();
+        return;
+    }
+    m_phase = phase::Reading;
+    if (m_input.empty()) {
+        m_started = false;
+        m_readTimer.start(m_server.m_options.keepAliveTimeout);
+        return;
+    }
+    start();
+    m_transport.post([weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->parse();
+        }
+    });
+}
+
+void http_session::startClosing()
+{
+    m_phase = phase::Closing;
+    releaseBody();
+    m_parser.reset();
+    m_input.clear();
+    m_readTimer.stop();
+    m_link->finishWriting();
+}
+
+void http_session::onWritten()
+{
+    if (m_link->pending() > 0) {
+        m_writeTimer.start(m_server.m_options.writeTimeout);
+        return;
+    }
+    m_writeTimer.stop();
+    if (m_phase == phase::Closing) {
+        m_writeTimer.start(closingTime);
+    }
+}
+
+void http_session::onReadTimeout()
+{
+    if (m_started) {
+        refuse(result_code::RequestTimeout, "the request did not arrive in time");
+    } else {
+        drop(); // An idle connection kept for further requests.
+    }
+}
+
+// Closes the connection as if the client had.
+void http_session::drop()
+{
+    m_link->close();
+    onClosed();
+}
+
+void http_session::onClosed()
+{
+    const auto alive = shared_from_this();
+    releaseBody();
+    m_readTimer.stop();
+    m_writeTimer.stop();
+    m_phase = phase::Closing;
+    m_link->setEvents(nullptr);
+    m_server.m_sessions.erase(this);
+    if (const auto request = std::exchange(m_request, 0); request != 0) {
+        m_server.m_requests.sessions.erase(request);
+        if (m_server.m_disconnected) {
+            m_server.m_disconnected(request_id{request});
+        }
+    }
+}
+
+void http_session::releaseBody()
+{
+    m_server.m_bodyBytes -= std::exchange(m_bodyBytes, 0);
+}
+
+http_server::http_server(transport &owner, open_requests &requests, loop_counters &counters, listen_options options,
+                         std::function<void(http_request)> handler, std::function<void(request_id)> disconnected)
+    : m_transport(owner)
+    , m_requests(requests)
+    , m_counters(counters)
+    , m_options(std::move(options))
+    , m_handler(std::move(handler))
+    , m_disconnected(std::move(disconnected))
+    , m_port(owner.listen(m_options.address, m_options.port, [this](connection_ptr link) { accept(std::move(link)); }))
+{
+}
+
+std::uint16_t http_server::port() const
+{
+    return m_port;
+}
+
+void http_server::accept(connection_ptr link)
+{
+    if (m_sessions.size() >= m_options.maxConnections + maxRefusedConnections) {
+        link->close();
+        return;
+    }
+    auto session = std::make_shared<http_session>(*this, m_transport, std::move(link));
+    m_sessions.emplace(session.get(), session);
+    if (m_sessions.size() > m_options.maxConnections) {
+        session->refuse(result_code::TooManyConnections,
+                        fmt::format("more than {} connections are open", m_options.maxConnections));
+    } else {
+        session->start();
+    }
+}
+
+} // namespace jackdawpick::net::internal
--- /dev/null
+++ b/src/net/internal/http_server.h
@@ -0,0 +1,102 @@
+#pragma once
+
+// The server side of HTTP/1.1: sessions on connections of a transport.
+
+#include "net/internal/message_parser.h"
+#include "net/internal/transport.h"
+#include "net/net.h"
+#include "results/results.h"
+
+#include <unordered_map>
+
+namespace jackdawpick::net::internal
+{
+
+class http_server;
+class http_session;
+
+// The sessions whose request waits for an answer, over all servers of a loop.
+struct open_requests
+{
+    std::uint64_t lastId = 0;
+    std::unordered_map<std::uint64_t, std::shared_ptr<http_session>> sessions;
+};
+
+// One connection of a client: requests one after the other.
+class http_session final : public connection_events, public std::enable_shared_from_this<http_session>
+{
+public:
+    http_session(http_server &server, transport &owner, connection_ptr link);
+
+    void start();
+    // Answers without reading a request and closes.
+    void refuse(result_code code, const std::string &message);
+    void respond(const http_head &head, const std::string &body);
+    void beginStream(const http_head &head);
+    void writeStream(std::string_view bytes);
+    void endStream();
+    [[nodiscard]] std::size_t buffered() const;
+
+private:
+    enum class phase : std::uint8_t {
+        Reading,
+        Answering,
+        Closing, // The last answer is being written; further input is discarded.
+    };
+    using parser = message_parser<true>;
+
+    void onReceived(std::string_view bytes) override;
+    void onWritten() override;
+    void onClosed() override;
+    void onReadTimeout();
+    void parse();
+    bool parseStep();
+    void afterHeader();
+    void dispatch();
+    void refuseParsed(const boost::beast::error_code &failure);
+    std::string headText(const http_head &head) const;
+    void finishAnswer();
+    void startClosing();
+    void drop();
+    void releaseBody();
+
+    http_server &m_server;
+    transport &m_transport;
+    connection_ptr m_link;
+    phase m_phase = phase::Reading;
+    std::unique_ptr<parser> m_parser;
+    std::string m_input;
+    std::size_t m_bodyBytes = 0; // Of the incomplete request, as counted by the server.
+    bool m_headerDone = false;
+    bool m_started = false; // A byte of the current request has arrived, or it is the first one.
+    bool m_keepAlive = true;
+    bool m_chunked = true; // Answers in streams; HTTP/1.0 clients get a body that ends with the connection.
+    bool m_headOnly = false;
+    std::uint64_t m_request = 0;
+    timer m_readTimer;
+    timer m_writeTimer;
+};
+
+class http_server
+{
+public:
+    http_server(transport &owner, open_requests &requests, loop_counters &counters, listen_options options,
+                std::function<void(http_request)> handler, std::function<void(request_id)> disconnected);
+    [[nodiscard]] std::uint16_t port() const;
+
+private:
+    friend class http_session;
+    void accept(connection_ptr link);
+
+    transport &m_transport;
+    open_requests &m_requests;
+    loop_counters &m_counters;
+    listen_options m_options;
+    std::function<void(http_request)> m_handler;
+    std::function<void(request_id)> m_disconnected;
+    std::unordered_map<const http_session *, std::shared_ptr<http_session>> m_sessions;
+    std::size_t m_bodyBytes = 0; // Of all incomplete requests.
+    std::uint16_t m_port = 0;
+};
+
+} // namespace jackdawpick::net::internal
--- /dev/null
+++ b/src/net/internal/transport.cc
@@ -0,0 +1,492 @@
+#include "net/internal/transport.h"
+
+#include "logging/logging.h"
+#include "net/internal/address.h"
+#include "results/results.h"
+
+#include <array>
+#include <cerrno>
+#include <csignal>
+#include <cstddef>
+#include <cstring>
+#include <fmt/format.h>
+#include <sys/signalfd.h>
+#include <sys/socket.h>
+#include <type_traits>
+#include <unistd.h>
+#include <utility>
+
+namespace jackdawpick::net::internal
+{
+
+namespace
+{
+
+constexpr std::size_t writeChunk = 16384;
+constexpr unsigned receiveBuffer = 32768;
+constexpr int backlog = 1024;
+
+sigset_t terminationSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    return signals;
+}
+
+void logLine(int level, const char *line)
+{
+    std::string_view text(line);
+    while (text.ends_with('\n')) {
+        text.remove_suffix(1);
+    }
+    logging::write(level == LLL_ERR ? log_level::Error : log_level::Debug, "libwebsockets", {{"text", text}});
+}
+
+class signal_source final : public descriptor
+{
+public:
+    signal_source(int file, std::function<void()> task)
+        : m_file(file)
+        , m_task(std::move(task))
+    {
+    }
+
+private:
+    bool onReadable(std::string_view /*bytes*/) override
+    {
+        signalfd_siginfo info{};
+        if (::read(m_file, &info, sizeof(info)) == sizeof(info)) {
+            m_task();
+        }
+        return true;
+    }
+
+    void onDescriptorClosed() override
+    {
+    }
+
+    int m_file;
+    std::function<void()> m_task;
+};
+
+} // namespace
+
+timer::timer(transport &owner, std::function<void()> task)
+    : m_owner(owner)
+    , m_task(std::move(task))
+{
+    static_assert(std::is_standard_layout_v<node> && offsetof(node, entry) == 0);
+    m_node.self = this;
+}
+
+timer::~timer()
+{
+    stop();
+}
+
+void timer::start(std::chrono::microseconds delay)
+{
+    const auto wait = std::max<std::int64_t>(delay.count(), 1);
+    lws_sul_schedule(m_owner.m_context, 0, &m_node.entry, &timer::fired, wait);
+}
+
+void timer::stop()
+{
+    lws_sul_cancel(&m_node.entry);
+}
+
+void timer::fired(lws_sorted_usec_list_t *entry)
+{
+    const timer *self = reinterpret_cast<node *>(entry)->self;
+    transport &owner = self->m_owner;
+    const auto task = self->m_task; // A copy, since the task may destroy the timer.
+    owner.guarded(task);
+}
+
+connection::connection(transport &owner, int socket, bool open)
+    : m_owner(owner)
+    , m_socket(socket)
+    , m_open(open)
+{
+}
+
+void connection::setEvents(connection_events *events)
+{
+    m_events = events;
+}
+
+bool connection::isOpen() const
+{
+    return m_open && !m_closed;
+}
+
+void connection::send(std::string bytes)
+{
+    if (m_closed || bytes.empty()) {
+        return;
+    }
+    m_pending += bytes.size();
+    m_queue.push_back(std::move(bytes));
+    lws_callback_on_writable(m_wsi);
+}
+
+std::size_t connection::pending() const
+{
+    return m_pending;
+}
+
+std::uint64_t connection::handedBytes() const
+{
+    return m_handed;
+}
+
+void connection::close()
+{
+    m_events = nullptr;
+    if (m_closed) {
+        return;
+    }
+    m_closed = true;
+    m_queue.clear();
+    m_pending = 0;
+    lws_set_timeout(m_wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+}
+
+void connection::finishWriting()
+{
+    m_finish = true;
+    if (!m_closed) {
+        lws_callback_on_writable(m_wsi);
+    }
+}
+
+bool connection::onReadable(std::string_view bytes)
+{
+    if (m_events != nullptr && !bytes.empty()) {
+        m_events->onReceived(bytes);
+    }
+    return !m_closed;
+}
+
+// True if the connection is established; reports it once.
+bool connection::checkOpened()
+{
+    if (m_open) {
+        return true;
+    }
+    int failure = 0;
+    socklen_t size = sizeof(failure);
+    if (::getsockopt(m_socket, SOL_SOCKET, SO_ERROR, &failure, &size) != 0 || failure != 0) {
+        return false;
+    }
+    m_open = true;
+    if (m_events != nullptr) {
+        m_events->onOpen();
+    }
+    return true;
+}
+
+bool connection::onWriteable(lws *wsi)
+{
+    if (!checkOpened() || m_closed || !writeSome(wsi)) {
+        return false;
+    }
+    if (m_pending > 0) {
+        lws_callback_on_writable(wsi);
+    } else if (m_finish) {
+        ::shutdown(m_socket, SHUT_WR);
+    }
+    if (m_events != nullptr) {
+        m_events->onWritten();
+    }
+    return !m_closed;
+}
+
+bool connection::writeSome(lws *wsi)
+{
+    std::array<unsigned char, LWS_PRE + writeChunk> buffer;
+    while (!m_queue.empty() && lws_send_pipe_choked(wsi) == 0) {
+        std::size_t filled = 0;
+        while (!m_queue.empty() && filled < writeChunk) {
+            const std::string &first = m_queue.front();
+            const std::size_t part = std::min(writeChunk - filled, first.size() - m_offset);
+            std::memcpy(buffer.data() + LWS_PRE + filled, first.data() + m_offset, part);
+            filled += part;
+            m_offset += part;
+            if (m_offset == first.size()) {
+                m_queue.pop_front();
+                m_offset = 0;
+            }
+        }
+        m_pending -= filled;
+        m_handed += filled; // Counted before the attempt: a failed write may have sent a part.
+        if (lws_write(wsi, buffer.data() + LWS_PRE, filled, LWS_WRITE_RAW) < 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void connection::onDescriptorClosed()
+{
+    m_closed = true;
+    m_pending = 0;
+    m_queue.clear();
+    if (auto *events = std::exchange(m_events, nullptr); events != nullptr) {
+        events->onClosed();
+    }
+}
+
+listener::listener(int socket, std::function<void(int)> onAccept)
+    : m_socket(socket)
+    , m_onAccept(std::move(onAccept))
+{
+}
+
+bool listener::onReadable(std::string_view /*bytes*/)
+{
+    constexpr int batch = 64; // Leaves the loop to other work during a flood of connections.
+    for (int i = 0; i < batch; ++i) {
+        const int socket = ::accept4(m_socket, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (socket < 0) {
+            break;
+        }
+        m_onAccept(socket);
+    }
+    return true;
+}
+
+void listener::onDescriptorClosed()
+{
+}
+
+transport::transport()
+{
+    lws_set_log_level(LLL_ERR, &logLine);
+    static const std::array<lws_protocols, 2> protocols{
+        lws_protocols{"jackdawpick", &transport::callback, 0, 0, 0, nullptr, 0},
+        lws_protocols{nullptr, nullptr, 0, 0, 0, nullptr, 0}};
+    lws_context_creation_info info{};
+    info.port = CONTEXT_PORT_NO_LISTEN;
+    info.protocols = protocols.data();
+    info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_SKIP_SERVER_CANONICAL_NAME;
+    info.pt_serv_buf_size = receiveBuffer;
+    info.user = this;
+    info.gid = static_cast<gid_t>(-1);
+    info.uid = static_cast<uid_t>(-1);
+    info.vhost_name = "jackdawpick";
+    m_context = lws_create_context(&info);
+    if (m_context == nullptr) {
+        throw error(result_code::InternalError, "cannot create the libwebsockets context");
+    }
+    m_vhost = lws_create_vhost(m_context, &info);
+    if (m_vhost == nullptr) {
+        lws_context_destroy(m_context);
+        throw error(result_code::InternalError, "cannot create the libwebsockets vhost");
+    }
+    m_postTimer = std::make_unique<timer>(*this, [this] { runPosted(); });
+}
+
+transport::~transport()
+{
+    m_destroying = true;
+    m_posted.clear();
+    m_postTimer.reset();
+    for (auto &[key, link] : m_connections) {
+        link->m_events = nullptr;
+    }
+    lws_context_destroy(m_context);
+    if (m_signalsBlocked) {
+        const sigset_t signals = terminationSignals();
+        ::sigprocmask(SIG_UNBLOCK, &signals, nullptr);
+    }
+}
+
+template<typename F> void transport::guarded(F &&task)
+{
+    try {
+        task();
+    } catch (...) {
+        if (!m_failure) {
+            m_failure = std::current_exception();
+        }
+        stop();
+    }
+}
+
+int transport::callback(lws *wsi, lws_callback_reasons reason, void * /*user*/, void *in, std::size_t length)
+{
+    auto *self = static_cast<transport *>(lws_context_user(lws_get_context(wsi)));
+    return self->handle(wsi, reason, {static_cast<const char *>(in), in == nullptr ? 0 : length});
+}
+
+int transport::handle(lws *wsi, lws_callback_reasons reason, std::string_view bytes)
+{
+    auto *user = static_cast<descriptor *>(lws_get_opaque_user_data(wsi));
+    if (user == nullptr) {
+        return 0;
+    }
+    bool keep = true;
+    switch (reason) {
+    case LWS_CALLBACK_RAW_RX:
+        guarded([&] { keep = user->onReadable(bytes); });
+        break;
+    case LWS_CALLBACK_RAW_RX_FILE:
+        guarded([&] { keep = user->onReadable({}); });
+        break;
+    case LWS_CALLBACK_RAW_WRITEABLE:
+        guarded([&] { keep = user->onWriteable(wsi); });
+        break;
+    case LWS_CALLBACK_RAW_CLOSE:
+    case LWS_CALLBACK_RAW_CLOSE_FILE: {
+        lws_set_opaque_user_data(wsi, nullptr);
+        const auto node = m_connections.extract(user); // Alive until the end of the callback.
+        guarded([&] { user->onDescriptorClosed(); });
+        m_files.erase(user);
+        break;
+    }
+    default:
+        break;
+    }
+    return keep ? 0 : -1;
+}
+
+connection_ptr transport::adopt(int socket, bool open)
+{
+    auto link = std::make_shared<connection>(*this, socket, open);
+    lws_adopt_desc_t request{};
+    request.vh = m_vhost;
+    request.type = LWS_ADOPT_SOCKET;
+    request.fd.sockfd = socket;
+    request.vh_prot_name = "jackdawpick";
+    request.opaque = static_cast<descriptor *>(link.get());
+    link->m_wsi = lws_adopt_descriptor_vhost_via_info(&request);
+    if (link->m_wsi == nullptr) {
+        return nullptr;
+    }
+    m_connections.emplace(link.get(), link);
+    return link;
+}
+
+bool transport::adoptFile(int file, std::unique_ptr<descriptor> user)
+{
+    lws_adopt_desc_t request{};
+    request.vh = m_vhost;
+    request.type = LWS_ADOPT_RAW_FILE_DESC;
+    request.fd.filefd = file;
+    request.vh_prot_name = "jackdawpick";
+    request.opaque = user.get();
+    if (lws_adopt_descriptor_vhost_via_info(&request) == nullptr) {
+        return false;
+    }
+    auto *key = user.get();
+    m_files.emplace(key, std::move(user));
+    return true;
+}
+
+std::uint16_t transport::listen(const std::string &address, std::uint16_t port,
+                                std::function<void(connection_ptr)> onAccept)
+{
+    const auto where = parseAddress(address, port);
+    const auto fail = [&](std::string_view step) {
+        throw error(result_code::SettingsInvalid,
+                    fmt::format("cannot listen on {}:{}: {}: {}", address, port, step, std::strerror(errno)));
+    };
+    if (!where.has_value()) {
+        errno = EINVAL;
+        fail("address");
+    }
+    const int socket = ::socket(where->family(), SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (socket < 0) {
+        fail("socket");
+    }
+    const int on = 1;
+    ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    socket_address bound;
+    if (::bind(socket, where->get(), where->size) != 0 || ::listen(socket, backlog) != 0
+        || ::getsockname(socket, bound.get(), &bound.size) != 0) {
+        const int reason = errno;
+        ::close(socket);
+        errno = reason;
+        fail("bind");
+    }
+    auto accepted = [this, onAccept = std::move(onAccept)](int client) {
+        if (auto link = adopt(client, true); link != nullptr) {
+            onAccept(std::move(link));
+        }
+    };
+    if (!adoptFile(socket, std::make_unique<listener>(socket, std::move(accepted)))) {
+        throw error(result_code::InternalError, "libwebsockets refused the listening socket");
+    }
+    return bound.port();
+}
+
+connection_ptr transport::connect(const std::string &address, connection_events *events)
+{
+    const auto where = parseAddress(address);
+    if (!where.has_value()) {
+        return nullptr;
+    }
+    const int socket = ::socket(where->family(), SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (socket < 0) {
+        return nullptr;
+    }
+    if (::connect(socket, where->get(), where->size) != 0 && errno != EINPROGRESS) {
+        ::close(socket);
+        return nullptr;
+    }
+    auto link = adopt(socket, false);
+    if (link != nullptr) {
+        link->setEvents(events);
+        lws_callback_on_writable(link->m_wsi);
+    }
+    return link;
+}
+
+void transport::post(std::function<void()> task)
+{
+    m_posted.push_back(std::move(task));
+    if (m_posted.size() == 1) {
+        m_postTimer->start(std::chrono::microseconds(1));
+    }
+}
+
+void transport::runPosted()
+{
+    // Tasks posted from now on run in the next turn, so that they cannot starve the sockets.
+    std::deque<std::function<void()>> tasks;
+    tasks.swap(m_posted);
+    for (const auto &task : tasks) {
+        guarded(task);
+    }
+}
+
+void transport::onSignal(std::function<void()> task)
+{
+    const sigset_t signals = terminationSignals();
+    ::sigprocmask(SIG_BLOCK, &signals, nullptr);
+    m_signalsBlocked = true;
+    const int file = ::signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
+    if (file < 0 || !adoptFile(file, std::make_unique<signal_source>(file, std::move(task)))) {
+        throw error(result_code::InternalError, "cannot receive signals");
+    }
+}
+
+void transport::run()
+{
+    m_stopped = false;
+    while (!m_stopped && lws_service(m_context, 0) >= 0) { }
+    if (m_failure) {
+        std::rethrow_exception(std::exchange(m_failure, nullptr));
+    }
+}
+
+void transport::stop()
+{
+    m_stopped = true;
+    lws_cancel_service(m_context);
+}
+
+} // namespace jackdawpick::net::internal
--- /dev/null
+++ b/src/net/internal/transport.h
@@ -0,0 +1,173 @@
+#pragma once
+
+// Sockets, timers and posted tasks on one libwebsockets context. Connections use the raw role of libwebsockets, since
+// its HTTP roles close malformed or slow connections without an answer and do not tell whether bytes were sent.
+
+#include "clock/clock.h"
+
+#include <cstdint>
+#include <deque>
+#include <exception>
+#include <functional>
+#include <libwebsockets.h>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace jackdawpick::net::internal
+{
+
+class transport;
+
+// Calls its task once after each start(). The task may destroy the timer.
+class timer
+{
+public:
+    timer(transport &owner, std::function<void()> task);
+    ~timer();
+    timer(const timer &) = delete;
+    timer &operator=(const timer &) = delete;
+
+    void start(std::chrono::microseconds delay);
+    void stop();
+
+private:
+    struct node
+    {
+        lws_sorted_usec_list_t entry; // First member: libwebsockets hands its address to the callback.
+        timer *self;
+    };
+    static void fired(lws_sorted_usec_list_t *entry);
+
+    transport &m_owner;
+    std::function<void()> m_task;
+    node m_node{};
+};
+
+// What happens on a connection. The last call is onClosed(), unless close() was called before.
+class connection_events
+{
+public:
+    virtual ~connection_events() = default;
+    virtual void onOpen()
+    {
+    }
+    virtual void onReceived(std::string_view bytes) = 0;
+    // Bytes were handed to the kernel; connection::pending() is what is left.
+    virtual void onWritten()
+    {
+    }
+    virtual void onClosed() = 0;
+};
+
+// Receives the libwebsockets callbacks of one descriptor.
+class descriptor
+{
+public:
+    virtual ~descriptor() = default;
+    // Each returns false to have the descriptor closed.
+    virtual bool onReadable(std::string_view bytes) = 0;
+    virtual bool onWriteable(lws * /*wsi*/)
+    {
+        return true;
+    }
+    virtual void onDescriptorClosed() = 0;
+};
+
+// One TCP connection. Owned by the transport until libwebsockets reports its end.
+class connection final : public descriptor, public std::enable_shared_from_this<connection>
+{
+public:
+    connection(transport &owner, int socket, bool open);
+
+    void setEvents(connection_events *events);
+    [[nodiscard]] bool isOpen() const;
+    // Queues bytes; ignored after close().
+    void send(std::string bytes);
+    [[nodiscard]] std::size_t pending() const; // Queued bytes not yet handed to the kernel.
+    [[nodiscard]] std::uint64_t handedBytes() const; // Bytes offered to the kernel since the start.
+    // No further event; the socket is closed in the next turn of the loop.
+    void close();
+    // Ends the own direction once all queued bytes are written; the peer still sees them.
+    void finishWriting();
+
+private:
+    friend class transport;
+    bool onReadable(std::string_view bytes) override;
+    bool onWriteable(lws *wsi) override;
+    void onDescriptorClosed() override;
+    bool checkOpened();
+    bool writeSome(lws *wsi);
+
+    transport &m_owner;
+    int m_socket;
+    lws *m_wsi = nullptr;
+    connection_events *m_events = nullptr;
+    bool m_open;
+    bool m_closed = false;
+    bool m_finish = false;
+    std::deque<std::string> m_queue;
+    std::size_t m_offset = 0; // Written bytes of the first entry.
+    std::size_t m_pending = 0;
+    std::uint64_t m_handed = 0;
+};
+
+using connection_ptr = std::shared_ptr<connection>;
+
+// Accepts connections on one listening socket.
+class listener final : public descriptor
+{
+public:
+    listener(int socket, std::function<void(int)> onAccept);
+
+private:
+    bool onReadable(std::string_view bytes) override;
+    void onDescriptorClosed() override;
+
+    int m_socket;
+    std::function<void(int)> m_onAccept;
+};
+
+class transport
+{
+public:
+    transport();
+    ~transport();
+    transport(const transport &) = delete;
+    transport &operator=(const transport &) = delete;
+
+    // Returns the port. Throws error(SettingsInvalid) if the address cannot be bound.
+    std::uint16_t listen(const std::string &address, std::uint16_t port, std::function<void(connection_ptr)> onAccept);
+    // Null if no attempt can be made; otherwise onOpen() or onClosed() follows.
+    connection_ptr connect(const std::string &address, connection_events *events);
+    // Calls `task` in the next turn of the loop.
+    void post(std::function<void()> task);
+    void onSignal(std::function<void()> task);
+    void run();
+    void stop();
+
+private:
+    friend class connection;
+    friend class timer;
+    static int callback(lws *wsi, lws_callback_reasons reason, void *user, void *in, std::size_t length);
+    int handle(lws *wsi, lws_callback_reasons reason, std::string_view bytes);
+    connection_ptr adopt(int socket, bool open);
+    bool adoptFile(int file, std::unique_ptr<descriptor> user);
+    void runPosted();
+    // Keeps the exception for run(), since it must not pass through libwebsockets.
+    template<typename F> void guarded(F &&task);
+
+    lws_context *m_context = nullptr;
+    lws_vhost *m_vhost = nullptr;
+    bool m_stopped = false;
+    bool m_destroying = false;
+    std::exception_ptr m_failure;
+    std::unordered_map<descriptor *, connection_ptr> m_connections;
+    std::unordered_map<descriptor *, std::unique_ptr<descriptor>> m_files;
+    std::deque<std::function<void()>> m_posted;
+    std::unique_ptr<timer> m_postTimer;
+    bool m_signalsBlocked = false;
+};
+
+} // namespace jackdawpick::net::internal
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -16,6 +16,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace jackdawpick::net
@@ -28,6 +29,10 @@
     std::size_t maxBodyBytes = 4U << 20U;
     std::uint32_t maxConnections = 4096;
     std::chrono::milliseconds requestTimeout{10000}; // For the whole request to arrive.
+    std::chrono::milliseconds keepAliveTimeout{60000}; // An idle connection is closed after this long.
+    std::chrono::milliseconds writeTimeout{30000}; // A client that takes no byte of its answer for so long is dropped.
+    std::size_t maxBufferedBytes = 64U << 20U; // Bodies of all incomplete requests together.
+    std::size_t maxUnsentBytes = 8U << 20U; // Unsent bytes of one stream; a client that falls behind is dropped.
 };
 
 enum class request_id : std::uint64_t {};
@@ -35,36 +40,38 @@
 struct http_request
 {
     request_id id{};
-    std::string method;
-    std::string path; // Without the query.
-    std::string query; // Without the question mark.
-    std::string body;
-    std::vector<std::pair<std::string, std::string>>
-        headers; // X-Request-Id, Content-Type, Accept; names in lower case.
+    std::string method{};
+    std::string path{}; // Without the query.
+    std::string query{}; // Without the question mark.
+    std::string body{};
+    std::vector<std::pair<std::string, std::string>> headers{}; // Names in lower case.
 };
 
 struct http_head
 {
     std::uint16_t status = 200;
     std::string contentType = "application/json";
-    std::vector<std::pair<std::string, std::string>> headers;
+    std::vector<std::pair<std::string, std::string>> headers{};
 };
 
 struct client_request
 {
-    std::string address; // "ip:port"
+    std::string address{}; // "ip:port"
     std::string method = "GET";
     std::string path = "/";
-    std::string body;
-    std::vector<std::pair<std::string, std::string>> headers;
+    std::string body{};
+    std::vector<std::pair<std::string, std::string>> headers{};
     std::chrono::milliseconds timeout{10000}; // For the whole exchange.
-    std::chrono::milliseconds silence{0}; // Longest time without a byte once connected; 0: no bound.
+    std::chrono::milliseconds silence{0}; // Longest time without a byte, also while connecting; 0: no bound.
+    // Takes an idle connection if there is one, and keeps the connection for others. A peer may close such a connection
+    // while the request is on its way, so requests that must not be repeated do without.
+    bool reuseConnection = false;
 };
 
 enum class client_error : std::uint8_t {
     None,
     ConnectFailed, // Nothing was sent.
-    ConnectionLost, // After bytes were sent.
+    ConnectionLost, // After bytes were sent; also an answer that is not valid HTTP.
     Silent,
     Timeout,
 };
@@ -77,8 +84,8 @@
     client_error error = client_error::None;
     bool bytesSent = false; // At least one byte of the request was handed to the connection.
     std::uint16_t status = 0;
-    std::vector<std::pair<std::string, std::string>> headers; // Those named in `wantedHeaders` of the loop.
-    std::string body; // Empty if a chunk handler took the body.
+    std::vector<std::pair<std::string, std::string>> headers{}; // Names in lower case.
+    std::string body{}; // Empty if a chunk handler took the body.
 };
 
 using chunk_handler = std::function<void(std::string_view bytes)>;
@@ -86,12 +93,12 @@
 
 enum class stream_id : std::uint64_t {};
 
-// Framed or raw TCP connection events.
+// Raw TCP connection events. `closed` is not called after the own close().
 struct tcp_handlers
 {
-    std::function<void(stream_id)> connected;
-    std::function<void(stream_id, std::string_view bytes)> received;
-    std::function<void(stream_id)> closed;
+    std::function<void(stream_id)> connected{};
+    std::function<void(stream_id, std::string_view bytes)> received{};
+    std::function<void(stream_id)> closed{};
 };
 
 struct loop_counters
@@ -111,7 +118,7 @@
     loop &operator=(const loop &) = delete;
 
     // Returns the port. Throws error(SettingsInvalid) if the address cannot be bound. `disconnected` is called once if
-    // the client goes away before the answer is complete.
+    // the client goes away before the answer is complete; a client that only ends its sending direction counts as gone.
     std::uint16_t listenHttp(const listen_options &options, std::function<void(http_request)> handler,
                              std::function<void(request_id)> disconnected = {});
     // Complete answer. Ignored if the client has gone.
@@ -142,7 +149,7 @@
     // SIGTERM and SIGINT.
     void onTerminate(std::function<void()> task);
 
-    // Runs until stop().
+    // Runs until stop(). An exception from a callback stops the loop and is thrown here.
     void run();
     void stop();
 
@@ -153,15 +160,23 @@
     std::unique_ptr<implementation> m_impl;
 };
 
-// Splits "data: …" lines of a server-sent event stream. Holds at most one incomplete line of `maxLineBytes`.
+// Splits a server-sent event stream into the payloads of its "data:" lines. Holds at most one incomplete event of
+// `maxEventBytes`.
 class sse_reader
 {
 public:
-    // The payloads of all events completed by `bytes`.
+    static constexpr std::size_t maxEventBytes = 1U << 20U;
+
+    // The payloads of all events completed by `bytes`; lines of one event are joined by a line feed. Throws
+    // error(EndpointFailed) on an event beyond the bound.
     [[nodiscard]] std::vector<std::string> append(std::string_view bytes);
 
 private:
-    std::string m_buffer;
+    void takeLine(std::string_view line, std::vector<std::string> &events);
+
+    std::string m_line; // Incomplete.
+    std::string m_data; // Of the incomplete event.
+    bool m_hasData = false;
 };
 
 } // namespace jackdawpick::net
