--- a/src/configuration/configuration.h
+++ b/src/configuration/configuration.h
@@ -9,6 +9,11 @@
 //   c.pools = {{.model = "tide-7b", .pool = "tide-engines"}};
 //   std::cout << jackdawpick::printConfiguration(c);
 //
+// In TOML the parts are [[rank]], [[model_pool]], [[service]], [[customer]] and [limits]; the keys are the members in
+// snake case, times with "_ms", counts of tokens with "_tokens" (program_target_ms, call_cost_tokens, ...). Names of
+// ranks, pools, services and customers are 1 to 64 letters, digits, '-', '_' or '.'; names of models, adapters and
+// versions may also contain '/' and ':'.
+//
 // Thread compatible; no function keeps references to its arguments.
 
 #include <chrono>
@@ -37,10 +42,10 @@
 // Engines of `pool` in the host list serve `model`.
 struct model_pool
 {
-    std::string model;
-    std::string pool;
-    std::vector<std::string> adapters;
-    std::string version;
+    std::string model; // Unique: a model is served by one pool.
+    std::string pool; // May serve further models, but no service.
+    std::vector<std::string> adapters{}; // Initialised, so that designated initialisers may leave them out.
+    std::string version{};
     std::uint32_t minEngines = 0; // Engines kept loaded with the model even without demand.
     bool operator==(const model_pool &) const = default;
 };
@@ -49,8 +54,8 @@
 struct service_definition
 {
     std::string name;
-    std::string pool;
-    std::vector<std::string> ranks; // Ranks of work that the service carries; the first is the default.
+    std::string pool{};
+    std::vector<std::string> ranks{}; // Ranks of work that the service carries; the first is the default.
     std::uint64_t callCost = 0; // Tokens charged to the program's budget for one call.
     std::chrono::milliseconds timeout{30000};
     bool idempotentByDefault = false;
