Add ownership with takeover, and the replay of journals

A daemon must take over the shards of a dead or frozen one without two owners and without losing a confirmed turn.

--- a/src/ownership/ownership.h
+++ b/src/ownership/ownership.h
@@ -10,7 +10,9 @@
 //   for (auto &opened : owners.takeOpened()) { ... } // programs of shards that this daemon serves from now on
 
 #include "journal/journal.h"
+#include "ledger_replay/ledger_replay.h"
 
+#include <array>
 #include <set>
 
 namespace jackdawpick
@@ -72,14 +74,20 @@
     // Records to submit to stream `ownership` and to the own journal since the last call.
     [[nodiscard]] std::vector<log_record> takeOwnershipRecords();
     [[nodiscard]] std::vector<log_record> takeJournalRecords();
-    // Requests on journals of other daemons.
+    // Requests on journals of other daemons, and reads of the own journal to restore a shard that was owned before.
     [[nodiscard]] std::vector<log_request> poll(time_point now);
     void onAppend(const append_result &result, time_point now);
     void onRead(const read_result &result, time_point now);
+    // May be true for the own journal at times; its answers then go both here and to its log_stream.
     [[nodiscard]] bool handlesStream(const std::string &stream) const;
 
+    // Stream `ownership` has been read to its end. No shard is claimed before that, since the records that name the
+    // current owner may not have been read yet.
+    void onOwnershipCaughtUp();
     void onOwnershipRecords(const std::vector<stream_record> &records, time_point now);
-    // Own journal in log order. Returns the shards lost by a seal, in the order of the journal.
+    // Own journal in log order. Returns the shards lost by a seal, released ones included, in the order of the journal.
+    // Records of a lost shard that follow the seal are void; a caller that applies records passes them one by one to
+    // tell which those are.
     [[nodiscard]] std::vector<shard_index> onOwnJournal(const std::vector<stream_record> &records, time_point now);
     // Shards opened since the last call.
     [[nodiscard]] std::vector<opened_shard> takeOpened();
@@ -92,6 +100,97 @@
     [[nodiscard]] const shard_owner *ownerOf(shard_index shard) const;
     [[nodiscard]] std::size_t takeoversInProgress() const;
     [[nodiscard]] std::optional<time_point> nextDeadline() const;
+
+private:
+    struct seen_claim
+    {
+        fence expected = 0;
+        shard_owner owner;
+    };
+
+    struct shard_entry
+    {
+        // Valid claims, oldest first, back to one that is known to have been opened.
+        std::vector<shard_owner> claims;
+        // Set while this reader began behind the start of the stream and no renewal has named the owner; claims are
+        // then kept to be judged again.
+        bool provisional = false;
+        std::vector<seen_claim> candidates;
+        fence renewedFence = 0; // Highest one taken from a renewal.
+        bool ambiguous = false; // The first claim seen names an earlier owner that this reader does not know.
+    };
+
+    // A won claim that is not served yet.
+    struct takeover
+    {
+        fence token = 0;
+        std::vector<shard_owner> previous; // Earlier claims, newest first.
+        std::size_t step = 0; // The one whose journal is being read.
+        fence previousToken = 0;
+        bool released = false; // The previous owner gave the shard up with no call in flight.
+        std::optional<std::vector<replayed_program>> programs; // Restored; wait for the own journal to be sealed.
+        std::optional<opened_shard> result; // Set once the snapshots have been submitted.
+    };
+
+    // Seals one journal and reads it from its start through the seal, for several shards.
+    struct journal_reader
+    {
+        log_stream stream;
+        daemon_identity writer;
+        std::vector<shard_fence> seal;
+        std::map<shard_index, shard_replay> replays;
+    };
+
+    struct served_shard
+    {
+        fence token = 0;
+        std::optional<time_point> renewed; // When the last renewal was written.
+        bool releasing = false;
+        std::uint32_t openedUnread = 0; // shard_opened records submitted and not read back yet.
+    };
+
+    [[nodiscard]] fence currentFence(shard_index shard) const;
+    void proposeClaims();
+    [[nodiscard]] bool mayClaim(shard_index shard) const;
+    void onClaim(const shard_claimed &claim, log_offset offset);
+    void onRenewal(const shard_claimed &claim, time_point now);
+    void adoptRenewal(shard_index shard, const shard_owner &owner, log_offset asOf);
+    static bool applyClaim(shard_entry &entry, const seen_claim &claim);
+    void onReleased(const shard_released &release);
+    void dropSuperseded(shard_index shard);
+    void beginTakeover(shard_index shard);
+    void continueTakeover(shard_index shard);
+    void restore(shard_index shard, takeover &what, std::vector<replayed_program> programs);
+    void submitSnapshots(shard_index shard, takeover &what);
+    void beginReading(const std::string &journal, const std::set<shard_index> &shards);
+    void finishReading(const std::string &journal);
+    void onOwnSeal(const shards_sealed &seal, std::vector<shard_index> &lost);
+    void onOwnOpened(const shard_opened &opened);
+    void renewClaims(time_point now);
+
+    daemon_identity m_self;
+    std::string m_ownJournal;
+    daemon_addresses m_addresses;
+    ownership_options m_options;
+
+    std::array<shard_entry, shardCount> m_shards;
+    log_offset m_firstOffset = 0; // Of the first record read from stream `ownership`; 0: none yet.
+    log_offset m_position = 0; // Of the last one.
+    bool m_caughtUp = false;
+
+    std::vector<shard_index> m_wanted; // In order of preference.
+    std::set<shard_index> m_claiming; // Claim submitted, verdict unknown.
+    std::map<shard_index, takeover> m_takeovers;
+    std::map<std::string, std::set<shard_index>> m_toRead; // Shards that wait for a journal to be read.
+    std::map<std::string, journal_reader> m_readers;
+    std::map<std::string, std::uint64_t> m_foreignSequences; // Next sequence number in journals read before.
+    std::map<shard_index, served_shard> m_served;
+    std::map<shard_index, fence> m_ownSeals; // Highest seal read in the own journal.
+
+    std::vector<log_record> m_ownershipRecords;
+    std::vector<log_record> m_journalRecords;
+    std::vector<opened_shard> m_opened;
+    std::vector<shard_index> m_lost; // Lost without a seal; reported by the next onOwnJournal().
 };
 
 } // namespace jackdawpick
