--- a/standins/platform/service_model.cc
+++ b/standins/platform/service_model.cc
@@ -11,7 +11,12 @@
 
 service_model::service_model(const service_options &options, std::uint64_t seed)
     : m_options(options)
-    , m_faults({{"refuse", 0.0}, {"hang", 0.0}, {"lost_answer", 0.0}, {"error_rate", 0.0}, {"latency_ms", 0.0}})
+    , m_faults({{"leaving", 0.0},
+                {"refuse", 0.0},
+                {"hang", 0.0},
+                {"lost_answer", 0.0},
+                {"error_rate", 0.0},
+                {"latency_ms", 0.0}})
     , m_random(seed)
 {
 }
@@ -29,7 +34,7 @@
     return std::uniform_real_distribution<double>(0, 1)(m_random) < m_faults.number(fault);
 }
 
-service_answer service_model::call(const service_call_data &data, time_point)
+service_answer service_model::call(const service_call_data &data, time_point now)
 {
     if (m_faults.isOn("refuse")) {
         return {.status = 503};
@@ -44,6 +49,7 @@
     auto &count = m_counts[data.operation.empty() ? data.requestId : data.operation];
     if (count.runs++ == 0) {
         count.call = data;
+        count.firstAt = now;
     }
     const std::uint16_t status = draw("lost_answer") ? 0 : 200;
     return {.status = status, .ran = true, .delay = delay, .result = serviceResult(data.operation, data.path)};
--- a/standins/platform/service_model.h
+++ b/standins/platform/service_model.h
@@ -35,6 +35,7 @@
 {
     service_call_data call; // As it first ran.
     std::uint64_t runs = 0;
+    time_point firstAt{};
 };
 
 struct service_answer
@@ -45,8 +46,8 @@
     std::string result{}; // Digest of operation and path, so that an answer to another call is recognised.
 };
 
-// Faults: refuse, hang (no effect, no answer), lost_answer (part of the calls, 0 to 1; effect, no answer), error_rate
-// (0 to 1; no effect), latency_ms (replaces the median if above 0).
+// Faults: leaving, refuse, hang (no effect, no answer), lost_answer (part of the calls, 0 to 1; effect, no answer),
+// error_rate (0 to 1; no effect), latency_ms (replaces the median if above 0).
 class service_model
 {
 public:
