--- a/src/net/net.h
+++ b/src/net/net.h
@@ -40,27 +40,27 @@
 struct http_request
 {
     request_id id{};
-    std::string method{};
-    std::string path{}; // Without the query.
-    std::string query{}; // Without the question mark.
-    std::string body{};
-    std::vector<std::pair<std::string, std::string>> headers{}; // Names in lower case.
+    std::string method;
+    std::string path; // Without the query.
+    std::string query; // Without the question mark.
+    std::string body;
+    std::vector<std::pair<std::string, std::string>> headers; // Names in lower case.
 };
 
 struct http_head
 {
     std::uint16_t status = 200;
     std::string contentType = "application/json";
-    std::vector<std::pair<std::string, std::string>> headers{};
+    std::vector<std::pair<std::string, std::string>> headers;
 };
 
 struct client_request
 {
-    std::string address{}; // "ip:port"
+    std::string address; // "ip:port"
     std::string method = "GET";
     std::string path = "/";
-    std::string body{};
-    std::vector<std::pair<std::string, std::string>> headers{};
+    std::string body;
+    std::vector<std::pair<std::string, std::string>> headers;
     std::chrono::milliseconds timeout{10000}; // For the whole exchange.
     std::chrono::milliseconds silence{0}; // Longest time without a byte, also while connecting; 0: no bound.
     // Takes an idle connection if there is one, and keeps the connection for others. A peer may close such a connection
@@ -84,8 +84,8 @@
     client_error error = client_error::None;
     bool bytesSent = false; // At least one byte of the request was handed to the connection.
     std::uint16_t status = 0;
-    std::vector<std::pair<std::string, std::string>> headers{}; // Names in lower case.
-    std::string body{}; // Empty if a chunk handler took the body.
+    std::vector<std::pair<std::string, std::string>> headers; // Names in lower case.
+    std::string body; // Empty if a chunk handler took the body.
 };
 
 using chunk_handler = std::function<void(std::string_view bytes)>;
@@ -96,9 +96,9 @@
 // Raw TCP connection events. `closed` is not called after the own close().
 struct tcp_handlers
 {
-    std::function<void(stream_id)> connected{};
-    std::function<void(stream_id, std::string_view bytes)> received{};
-    std::function<void(stream_id)> closed{};
+    std::function<void(stream_id)> connected;
+    std::function<void(stream_id, std::string_view bytes)> received;
+    std::function<void(stream_id)> closed;
 };
 
 struct loop_counters
--- /dev/null
+++ b/src/wire/wire.cc
@@ -0,0 +1,247 @@
+#include "wire/wire.h"
+
+#include "wire/internal/wire_generated.h"
+
+#include <fmt/format.h>
+
+namespace jackdawpick
+{
+
+namespace
+{
+
+namespace fb = wire_fb;
+using builder = flatbuffers::FlatBufferBuilder;
+
+constexpr std::size_t lengthBytes = 4;
+constexpr std::size_t initialBytes = 256;
+
+constexpr unsigned halfBits = 32;
+
+std::uint32_t lowHalf(std::uint64_t value)
+{
+    return static_cast<std::uint32_t>(value);
+}
+
+std::uint32_t highHalf(std::uint64_t value)
+{
+    return static_cast<std::uint32_t>(value >> halfBits);
+}
+
+std::uint64_t joined(std::uint32_t low, std::uint32_t high)
+{
+    return low | static_cast<std::uint64_t>(high) << halfBits;
+}
+
+// ---- Encoding ----
+
+struct message_packer
+{
+    builder &out;
+
+    fb::Message type = fb::Message::NONE;
+    flatbuffers::Offset<void> offset{};
+
+    template<typename T> void set(fb::Message kind, flatbuffers::Offset<T> value)
+    {
+        type = kind;
+        offset = value.Union();
+    }
+
+    void operator()(const hello &m)
+    {
+        const auto name = out.CreateString(m.daemon.name);
+        const auto zone = out.CreateString(m.zone);
+        set(fb::Message::Hello, fb::CreateHello(out, m.version, name, m.daemon.incarnation, zone));
+    }
+
+    void operator()(const heartbeat &m)
+    {
+        const auto name = out.CreateString(m.daemon.name);
+        const auto zone = out.CreateString(m.zone);
+        const fb::HeartbeatState state(lowHalf(m.daemon.incarnation), highHalf(m.daemon.incarnation),
+                                       lowHalf(m.configurationVersion), highHalf(m.configurationVersion));
+        set(fb::Message::Heartbeat, fb::CreateHeartbeat(out, name, zone, &state, m.draining));
+    }
+
+    void operator()(const forward_call &m)
+    {
+        const auto path = out.CreateString(m.path);
+        const auto body = out.CreateString(m.body);
+        set(fb::Message::ForwardCall, fb::CreateForwardCall(out, m.id, path, body));
+    }
+
+    void operator()(const forward_chunk &m)
+    {
+        const auto text = out.CreateString(m.text);
+        set(fb::Message::ForwardChunk, fb::CreateForwardChunk(out, m.id, text));
+    }
+
+    void operator()(const forward_end &m)
+    {
+        const auto body = out.CreateString(m.body);
+        set(fb::Message::ForwardEnd, fb::CreateForwardEnd(out, m.id, m.httpStatus, m.retryAfterMs, body));
+    }
+
+    void operator()(const forward_cancel &m)
+    {
+        set(fb::Message::ForwardCancel, fb::CreateForwardCancel(out, m.id));
+    }
+
+    void operator()(const quarantine_notice &m)
+    {
+        set(fb::Message::QuarantineNotice, fb::CreateQuarantineNotice(out, m.content));
+    }
+
+    void operator()(const leaving_notice &m)
+    {
+        const auto endpoint = out.CreateString(m.endpoint);
+        set(fb::Message::LeavingNotice, fb::CreateLeavingNotice(out, endpoint));
+    }
+
+    void operator()(const configuration_hint &m)
+    {
+        set(fb::Message::ConfigurationHint, fb::CreateConfigurationHint(out, m.version));
+    }
+};
+
+void appendLength(std::string &out, std::uint32_t length)
+{
+    for (std::size_t i = 0; i < lengthBytes; ++i) {
+        out += static_cast<char>(length >> (8 * i) & 0xffU);
+    }
+}
+
+// ---- Decoding ----
+
+std::string unpack(const flatbuffers::String *text)
+{
+    return text == nullptr ? std::string() : text->str();
+}
+
+[[noreturn]] void refuse(const std::string &why)
+{
+    throw error(result_code::MalformedRequest, why);
+}
+
+hello unpack(const fb::Hello &m)
+{
+    if (m.version() != protocolVersion) {
+        refuse(fmt::format("peer speaks protocol version {}, expected {}", m.version(), protocolVersion));
+    }
+    return {.version = m.version(),
+            .daemon = {.name = unpack(m.name()), .incarnation = m.incarnation()},
+            .zone = unpack(m.zone())};
+}
+
+peer_message unpack(const fb::Envelope &envelope)
+{
+    switch (envelope.message_type()) {
+    case fb::Message::Hello:
+        return unpack(*envelope.message_as_Hello());
+    case fb::Message::Heartbeat: {
+        const auto &m = *envelope.message_as_Heartbeat();
+        if (m.state() == nullptr) {
+            refuse("heartbeat without state");
+        }
+        return heartbeat{.daemon = {.name = unpack(m.name()),
+                                    .incarnation = joined(m.state()->incarnation_low(), m.state()->incarnation_high())},
+                         .zone = unpack(m.zone()),
+                         .configurationVersion = joined(m.state()->version_low(), m.state()->version_high()),
+                         .draining = m.draining()};
+    }
+    case fb::Message::ForwardCall: {
+        const auto &m = *envelope.message_as_ForwardCall();
+        return forward_call{.id = m.id(), .path = unpack(m.path()), .body = unpack(m.body())};
+    }
+    case fb::Message::ForwardChunk: {
+        const auto &m = *envelope.message_as_ForwardChunk();
+        return forward_chunk{.id = m.id(), .text = unpack(m.text())};
+    }
+    case fb::Message::ForwardEnd: {
+        const auto &m = *envelope.message_as_ForwardEnd();
+        return forward_end{
+            .id = m.id(), .httpStatus = m.http_status(), .retryAfterMs = m.retry_after_ms(), .body = unpack(m.body())};
+    }
+    case fb::Message::ForwardCancel:
+        return forward_cancel{.id = envelope.message_as_ForwardCancel()->id()};
+    case fb::Message::QuarantineNotice:
+        return quarantine_notice{.content = envelope.message_as_QuarantineNotice()->content()};
+    case fb::Message::LeavingNotice:
+        return leaving_notice{.endpoint = unpack(envelope.message_as_LeavingNotice()->endpoint())};
+    case fb::Message::ConfigurationHint:
+        return configuration_hint{.version = envelope.message_as_ConfigurationHint()->version()};
+    case fb::Message::NONE:
+        break;
+    }
+    refuse(fmt::format("unknown peer message type {}", static_cast<int>(envelope.message_type())));
+}
+
+peer_message decode(std::string_view bytes)
+{
+    // FlatBuffers expects its buffer aligned; a frame starts anywhere in the stream.
+    const std::vector<std::uint64_t> aligned = [bytes] {
+        std::vector<std::uint64_t> copy((bytes.size() + sizeof(std::uint64_t) - 1) / sizeof(std::uint64_t));
+        std::copy(bytes.begin(), bytes.end(), reinterpret_cast<char *>(copy.data()));
+        return copy;
+    }();
+    const auto *data = reinterpret_cast<const std::uint8_t *>(aligned.data());
+    flatbuffers::Verifier verifier(data, bytes.size());
+    if (!fb::VerifyEnvelopeBuffer(verifier)) {
+        refuse("peer message fails verification");
+    }
+    const auto *envelope = fb::GetEnvelope(data);
+    // The verifier accepts a union that has a type and no value.
+    if (envelope->message_type() != fb::Message::NONE && envelope->message() == nullptr) {
+        refuse("peer message has a type and no value");
+    }
+    return unpack(*envelope);
+}
+
+} // namespace
+
+std::string encodeFrame(const peer_message &message)
+{
+    builder out(initialBytes);
+    message_packer packer{out};
+    std::visit(packer, message);
+    out.Finish(fb::CreateEnvelope(out, packer.type, packer.offset));
+    if (out.GetSize() > maxFrameBytes) {
+        throw error(result_code::RequestTooLarge, fmt::format("peer message exceeds {} bytes", maxFrameBytes));
+    }
+    std::string frame;
+    frame.reserve(lengthBytes + out.GetSize());
+    appendLength(frame, out.GetSize());
+    frame.append(reinterpret_cast<const char *>(out.GetBufferPointer()), out.GetSize());
+    return frame;
+}
+
+void frame_reader::append(std::string_view bytes)
+{
+    m_buffer.append(bytes);
+}
+
+std::optional<peer_message> frame_reader::next()
+{
+    const std::string_view rest = std::string_view(m_buffer).substr(m_position);
+    if (rest.size() < lengthBytes) {
+        return std::nullopt;
+    }
+    std::uint32_t length = 0;
+    for (std::size_t i = 0; i < lengthBytes; ++i) {
+        length |= static_cast<std::uint32_t>(static_cast<unsigned char>(rest[i])) << (8 * i);
+    }
+    if (length > maxFrameBytes) {
+        refuse(fmt::format("peer frame of {} bytes exceeds {}", length, maxFrameBytes));
+    }
+    if (rest.size() - lengthBytes < length) {
+        m_buffer.erase(0, m_position);
+        m_position = 0;
+        return std::nullopt;
+    }
+    auto message = decode(rest.substr(lengthBytes, length));
+    m_position += lengthBytes + length;
+    return message;
+}
+
+} // namespace jackdawpick
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -77,6 +77,7 @@
 using peer_message = std::variant<hello, heartbeat, forward_call, forward_chunk, forward_end, forward_cancel,
                                   quarantine_notice, leaving_notice, configuration_hint>;
 
+// Throws error(RequestTooLarge) if the message does not fit a frame.
 [[nodiscard]] std::string encodeFrame(const peer_message &message);
 
 // Cuts a byte stream into messages. Holds at most one incomplete frame.
@@ -90,6 +91,7 @@
 
 private:
     std::string m_buffer;
+    std::size_t m_position = 0; // Start of the next frame.
 };
 
 } // namespace jackdawpick
