membership: add liveness, heartbeats, shard wishes and the entry list

Shards of a listed owner that died or restarted are wanted by the rendezvous winner among the owner's ring neighbours, since no other daemon learns of it from heartbeats; all other shards by the winner over all live daemons. Surplus shards move only to daemons below the fair share: without that condition ten rounds of hand-overs did not settle in the test.

--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -73,22 +73,61 @@
     [[nodiscard]] std::vector<member_identity> neighbours() const;
     [[nodiscard]] std::vector<heartbeat> dueHeartbeats(log_offset configurationVersion, time_point now);
 
-    // Listed daemons that are not known to be dead or leaving, with this one, sorted by name.
+    // Listed daemons that are not known to be dead or leaving, with this one, sorted by name. Only neighbours are
+    // watched; of others only the host list tells.
     [[nodiscard]] std::vector<member_identity> liveDaemons(time_point now) const;
     [[nodiscard]] bool isSuspect(const std::string &daemon, time_point now) const;
 
-    // Shards that this daemon should own: rendezvous hashing over the live daemons, so that a change moves only the
-    // shards concerned. A live owner's shards are not wanted by others, except that a daemon with more than its fair
-    // share hands the surplus over through surplusShards().
+    // Shards that this daemon should own but does not: rendezvous hashing over the live daemons that do not drain, so
+    // that a change moves only the shards concerned. Left alone are shards whose last owner lives in the incarnation of
+    // the claim. Shards of a listed owner that died or restarted go to the winner among the owner's neighbours, since
+    // only they know. Empty until the first host list.
     [[nodiscard]] std::vector<shard_index> wantedShards(const std::vector<shard_claim_view> &claims,
                                                         time_point now) const;
+    // Own shards beyond the fair share whose rendezvous winner has less than that; to be released.
     [[nodiscard]] std::vector<shard_index> surplusShards(const std::vector<shard_claim_view> &claims,
                                                          time_point now) const;
 
-    // For callers: live daemons that are not draining, those of `zone` first, then shuffled by the caller's zone.
+    // For callers: live daemons that are not draining, those of `zone` first. Within a zone the order changes with
+    // `now`, so that callers spread over the daemons.
     [[nodiscard]] std::vector<entry_address> entryAddresses(const std::string &zone, time_point now) const;
     [[nodiscard]] std::chrono::seconds entryKeep() const;
     [[nodiscard]] std::optional<time_point> nextDeadline() const;
+
+private:
+    struct peer
+    {
+        std::optional<host_entry> listed;
+        std::uint64_t incarnation = 0; // 0 before the first heartbeat.
+        std::string zone;
+        bool draining = false;
+        time_point lastSign; // Last heartbeat, or when the daemon became a neighbour.
+        bool isNeighbour = false;
+    };
+    // Rendezvous winners for one set of candidates; the set changes rarely, the question comes with every event.
+    struct winner_table
+    {
+        std::vector<std::string> candidates;
+        std::vector<std::uint32_t> winners; // Index into `candidates` for each shard.
+    };
+
+    void updateNeighbours(time_point now);
+    [[nodiscard]] std::vector<std::string> neighboursOf(const std::string &name) const;
+    [[nodiscard]] bool mayOwnNewShards(const std::string &name, time_point now) const;
+    [[nodiscard]] bool isServing(const shard_claim_view &claim, time_point now) const;
+    [[nodiscard]] std::vector<std::string> candidates(time_point now) const;
+    [[nodiscard]] const winner_table &winners(time_point now) const;
+
+    member_identity m_self;
+    membership_options m_options;
+    std::map<std::string, peer> m_peers;
+    std::vector<std::pair<digest, std::string>> m_ring; // Listed daemons with this one, by the hash of their names.
+    bool m_listReceived = false;
+    bool m_draining = false;
+    bool m_selfLeaving = false; // According to the host list.
+    time_point m_now{};
+    time_point m_nextHeartbeat{};
+    mutable winner_table m_winners;
 };
 
 } // namespace jackdawpick
