--- /dev/null
+++ b/src/caller_api/caller_api.cc
@@ -0,0 +1,332 @@
+#include "caller_api/caller_api.h"
+
+#include "caller_api/internal/field_reader.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace jackdawpick
+{
+
+namespace
+{
+
+using caller_api_internal::field_reader;
+using caller_api_internal::parse_error;
+using nlohmann::json;
+
+constexpr std::string_view chatPath = "/v1/chat/completions";
+constexpr std::string_view servicePrefix = "/v1/services/";
+constexpr std::size_t maxReceiptBytes = 4096;
+// Writing a value back is recursive in the JSON library; deeper texts could exhaust the stack.
+constexpr int maxNesting = 64;
+constexpr std::string_view ownKey = "jackdawpick";
+
+bool nestsTooDeep(std::string_view text)
+{
+    int depth = 0;
+    bool inString = false;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const char c = text[i];
+        if (inString) {
+            i += c == '\\' ? 1 : 0;
+            inString = c != '"';
+        } else if (c == '"') {
+            inString = true;
+        } else if (c == '{' || c == '[') {
+            if (++depth > maxNesting) {
+                return true;
+            }
+        } else if (c == '}' || c == ']') {
+            --depth;
+        }
+    }
+    return false;
+}
+
+json parseObject(std::string_view text)
+{
+    if (nestsTooDeep(text)) {
+        throw parse_error{result_code::MalformedRequest, fmt::format("body: nested deeper than {}", maxNesting)};
+    }
+    json value = json::parse(text, nullptr, false);
+    if (!value.is_object()) {
+        throw parse_error{result_code::MalformedRequest, "body: expected a JSON object in UTF-8"};
+    }
+    return value;
+}
+
+std::string dumpText(const json &value)
+{
+    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+// ---- Parsing ----
+
+void readProgram(const json &body, const caller_limits &limits, call_request &call)
+{
+    const auto found = body.find(ownKey);
+    if (found == body.end() || !found->is_object()) {
+        throw parse_error{result_code::MalformedRequest, "jackdawpick: expected an object"};
+    }
+    field_reader fields(*found, "jackdawpick", limits.maxNameBytes);
+    fields.allow({"customer", "program", "turn", "rank", "budget_tokens", "parent", "request_id", "deadline_ms",
+                  "receipt", "idempotent"});
+    call.program.customer = fields.name("customer");
+    if (call.program.customer.empty()) {
+        throw parse_error{result_code::MalformedRequest, "jackdawpick.customer: expected a name"};
+    }
+    call.program.program = fields.name("program");
+    call.turn = static_cast<std::uint32_t>(fields.number("turn", 1, 1, std::numeric_limits<std::uint32_t>::max()));
+    call.rank = fields.name("rank");
+    call.requestId = fields.name("request_id");
+    call.budgetTokens = fields.number("budget_tokens", 0, 0, std::numeric_limits<std::int64_t>::max());
+    if (const auto parent = fields.name("parent"); !parent.empty()) {
+        call.parent = program_key{call.program.customer, parent};
+    }
+    constexpr std::uint64_t longestDeadline = 24ULL * 3600 * 1000;
+    if (const auto deadline = fields.number("deadline_ms", 0, 1, longestDeadline); deadline != 0) {
+        call.deadline = std::chrono::milliseconds(deadline);
+    }
+    if (auto receipt = fields.text("receipt", maxReceiptBytes); !receipt.empty()) {
+        call.receipt = std::move(receipt);
+    }
+}
+
+// Plain text stays as it is; anything else becomes canonical JSON (sorted keys, without nulls), so that the digest of
+// a history does not depend on how a caller writes it.
+message readMessage(const json &value, std::size_t index)
+{
+    const auto fail = [index](std::string_view what) {
+        throw parse_error{result_code::MalformedRequest, fmt::format("messages[{}]{}", index, what)};
+    };
+    if (!value.is_object()) {
+        fail(": expected an object");
+    }
+    const auto role = value.find("role");
+    if (role == value.end() || !role->is_string() || role->get_ref<const std::string &>().empty()) {
+        fail(".role: expected a text");
+    }
+    json rest = json::object();
+    for (const auto &[key, part] : value.items()) {
+        if (key != "role" && !part.is_null()) {
+            rest[key] = part;
+        }
+    }
+    const auto content = rest.find("content");
+    if (rest.size() == 1 && content != rest.end() && content->is_string()) {
+        return {role->get<std::string>(), content->get<std::string>()};
+    }
+    if (rest.empty()) {
+        fail(".content: expected a text");
+    }
+    return {role->get<std::string>(), dumpText(rest)};
+}
+
+std::vector<message> readMessages(const json &body, const caller_limits &limits)
+{
+    const auto found = body.find("messages");
+    if (found == body.end() || !found->is_array() || found->empty()) {
+        throw parse_error{result_code::MalformedRequest, "messages: expected a list with at least one message"};
+    }
+    if (found->size() > limits.maxMessages) {
+        throw parse_error{result_code::HistoryTooLarge,
+                          fmt::format("messages: {} exceed {}", found->size(), limits.maxMessages)};
+    }
+    std::vector<message> messages;
+    messages.reserve(found->size());
+    for (const auto &value : *found) {
+        messages.push_back(readMessage(value, messages.size()));
+    }
+    return messages;
+}
+
+void readModelCall(json body, const caller_limits &limits, call_request &call)
+{
+    const field_reader fields(body, "", limits.maxNameBytes);
+    model_call model;
+    model.model = fields.name("model");
+    if (model.model.empty()) {
+        throw parse_error{result_code::MalformedRequest, "model: expected a name"};
+    }
+    model.maxTokens =
+        static_cast<std::uint32_t>(fields.number("max_tokens", 0, 1, std::numeric_limits<std::uint32_t>::max()));
+    model.stream = fields.flag("stream");
+    auto messages = readMessages(body, limits);
+    model.history = digestHistory(messages);
+    const auto lastAnswer = std::ranges::find(messages.rbegin(), messages.rend(), "assistant", &message::role);
+    call.newMessages.assign(std::make_move_iterator(lastAnswer.base()), std::make_move_iterator(messages.end()));
+    // The history enters by its digest; what is left are the parameters of the generation.
+    body.erase(std::string(ownKey));
+    body.erase("messages");
+    body.erase("stream");
+    call.contentDigest = digestOf(fmt::format("{:016x}{}", model.history.back().value, dumpText(body)));
+    call.kind = std::move(model);
+}
+
+void readServiceCall(std::string_view path, const json &body, const caller_limits &limits, call_request &call)
+{
+    const auto target = path.substr(servicePrefix.size());
+    const auto slash = target.find('/');
+    const auto service = target.substr(0, slash);
+    if (service.empty() || service.size() > limits.maxNameBytes) {
+        throw parse_error{result_code::UnknownService, "path: expected /v1/services/{service}/{path}"};
+    }
+    for (const auto &[key, part] : body.items()) {
+        if (key != ownKey && key != "body") {
+            throw parse_error{result_code::MalformedRequest, fmt::format("{}: unknown field", key.substr(0, 64))};
+        }
+    }
+    service_call plain;
+    plain.service = service;
+    plain.path = slash == std::string_view::npos ? std::string() : std::string(target.substr(slash + 1));
+    plain.idempotent =
+        field_reader(body.at(std::string(ownKey)), "jackdawpick", limits.maxNameBytes).flag("idempotent");
+    const auto content = body.find("body");
+    call.contentDigest =
+        digestOf(fmt::format("{}\n{}\n{}", plain.service, plain.path, content == body.end() ? "" : dumpText(*content)));
+    call.kind = std::move(plain);
+}
+
+call_request readCall(std::string_view path, const std::shared_ptr<const std::string> &body,
+                      const caller_limits &limits)
+{
+    const bool isChat = path == chatPath;
+    if (!isChat && !path.starts_with(servicePrefix)) {
+        throw parse_error{result_code::NotFound, "path: not part of the interface"};
+    }
+    if (body == nullptr) {
+        throw parse_error{result_code::MalformedRequest, "body: missing"};
+    }
+    if (body->size() > limits.maxBodyBytes) {
+        throw parse_error{result_code::RequestTooLarge, fmt::format("body: exceeds {} bytes", limits.maxBodyBytes)};
+    }
+    json value = parseObject(*body);
+    call_request call;
+    call.path = path;
+    call.body = body;
+    readProgram(value, limits, call);
+    if (isChat) {
+        readModelCall(std::move(value), limits, call);
+    } else {
+        readServiceCall(path, value, limits, call);
+    }
+    return call;
+}
+
+// ---- Formatting ----
+
+json programFields(const finish_call &answer)
+{
+    json fields{
+        {"customer", answer.program.customer}, {"program", answer.program.program}, {"turn", answer.turn},
+        {"request_id", answer.requestId},      {"durable", answer.durable},         {"replayed", answer.replayed}};
+    if (!answer.receipt.empty()) {
+        fields["receipt"] = answer.receipt;
+    }
+    return fields;
+}
+
+json usageFields(const usage &used)
+{
+    return {{"prompt_tokens", used.promptTokens},
+            {"cached_tokens", used.cachedTokens},
+            {"completion_tokens", used.completionTokens},
+            {"total_tokens", used.promptTokens + used.completionTokens}};
+}
+
+std::string eventLine(const json &value)
+{
+    return fmt::format("data: {}\n\n", dumpText(value));
+}
+
+constexpr std::string_view streamDone = "data: [DONE]\n\n";
+
+} // namespace
+
+std::variant<call_request, refusal> parseCall(std::string_view path, std::shared_ptr<const std::string> body,
+                                              const caller_limits &limits)
+{
+    try {
+        return readCall(path, body, limits);
+    } catch (const parse_error &problem) {
+        return refusal{.code = problem.code, .message = problem.message};
+    } catch (const json::exception &problem) {
+        return refusal{.code = result_code::MalformedRequest, .message = fmt::format("body: {}", problem.what())};
+    }
+}
+
+std::string endpointBody(const start_dispatch &dispatch)
+{
+    json value = dispatch.body == nullptr ? json::object() : json::parse(*dispatch.body, nullptr, false);
+    if (!value.is_object()) {
+        value = json::object();
+    }
+    if (std::holds_alternative<service_call>(dispatch.kind)) {
+        const auto content = value.find("body");
+        return content == value.end() ? "{}" : dumpText(*content);
+    }
+    value.erase(std::string(ownKey));
+    value["stream"] = true;
+    value["request_id"] = dispatch.requestId;
+    value["priority"] = dispatch.priority;
+    value["program"] = dispatch.program;
+    return dumpText(value);
+}
+
+std::string refusalJson(const refusal &reason)
+{
+    const auto &row = describe(reason.code);
+    return dumpText({{"error",
+                      {{"code", static_cast<int>(reason.code)},
+                       {"name", row.name},
+                       {"execution", nameOf(row.outcome)},
+                       {"message", reason.message},
+                       {"retry_after_ms", reason.retryAfter.count()}}}});
+}
+
+std::string answerJson(const finish_call &answer)
+{
+    if (answer.isService) {
+        json content =
+            nestsTooDeep(answer.answer) ? json(json::value_t::discarded) : json::parse(answer.answer, nullptr, false);
+        if (content.is_discarded()) {
+            content = answer.answer; // Not JSON: passed on as text.
+        }
+        return dumpText({{"body", std::move(content)}, {"jackdawpick", programFields(answer)}});
+    }
+    return dumpText({{"id", answer.requestId},
+                     {"object", "chat.completion"},
+                     {"choices",
+                      json::array({{{"index", 0},
+                                    {"message", {{"role", "assistant"}, {"content", answer.answer}}},
+                                    {"finish_reason", "stop"}}})},
+                     {"usage", usageFields(answer.used)},
+                     {"jackdawpick", programFields(answer)}});
+}
+
+std::string streamEvent(const std::string &requestId, const std::string &text)
+{
+    return eventLine({{"id", requestId},
+                      {"object", "chat.completion.chunk"},
+                      {"choices", json::array({{{"index", 0}, {"delta", {{"content", text}}}}})}});
+}
+
+std::string streamEnd(const finish_call &answer)
+{
+    const json end{{"id", answer.requestId},
+                   {"object", "chat.completion.chunk"},
+                   {"choices", json::array({{{"index", 0}, {"delta", json::object()}, {"finish_reason", "stop"}}})},
+                   {"usage", usageFields(answer.used)},
+                   {"jackdawpick", programFields(answer)}};
+    return fmt::format("{}{}{}", answer.replayed ? streamEvent(answer.requestId, answer.answer) : "", eventLine(end),
+                       streamDone);
+}
+
+std::string streamRefusal(const refusal &reason)
+{
+    return fmt::format("data: {}\n\n{}", refusalJson(reason), streamDone);
+}
+
+} // namespace jackdawpick
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -56,8 +56,7 @@
         m_ring.emplace_back(digestOf(host.name), host.name);
     }
     std::ranges::sort(m_ring);
-    const auto repeated = std::ranges::unique(m_ring);
-    m_ring.erase(repeated.begin(), repeated.end());
+    m_ring.erase(std::unique(m_ring.begin(), m_ring.end()), m_ring.end());
     std::erase_if(m_peers, [](const auto &entry) { return !entry.second.listed; });
     updateNeighbours(now);
 }
@@ -287,8 +286,8 @@
 {
     struct ranked
     {
-        bool otherZone;
-        digest order;
+        bool otherZone = false;
+        digest order = 0;
         entry_address address;
     };
     const auto seed = static_cast<std::uint64_t>(now.time_since_epoch().count());
