--- a/src/caller_api/caller_api.cc
+++ b/src/caller_api/caller_api.cc
@@ -150,17 +150,17 @@
     if (model.model.empty()) {
         throw parse_error{result_code::MalformedRequest, "model: expected a name"};
     }
-    model.maxTokens =
-        static_cast<std::uint32_t>(fields.number("max_tokens", 0, 1, std::numeric_limits<std::uint32_t>::max()));
+    model.maxTokens = static_cast<std::uint32_t>(
+        fields.number("max_tokens", limits.defaultMaxTokens, 1, std::numeric_limits<std::uint32_t>::max()));
     model.stream = fields.flag("stream");
     auto messages = readMessages(body, limits);
     model.history = digestHistory(messages);
-    const auto lastAnswer = std::ranges::find(messages.rbegin(), messages.rend(), "assistant", &message::role);
-    call.newMessages.assign(std::make_move_iterator(lastAnswer.base()), std::make_move_iterator(messages.end()));
+    call.messages = std::make_shared<const std::vector<message>>(std::move(messages));
     // The history enters by its digest; what is left are the parameters of the generation.
     body.erase(std::string(ownKey));
     body.erase("messages");
     body.erase("stream");
+    body["max_tokens"] = model.maxTokens;
     call.contentDigest = digestOf(fmt::format("{:016x}{}", model.history.back().value, dumpText(body)));
     call.kind = std::move(model);
 }
@@ -269,6 +269,7 @@
     }
     value.erase(std::string(ownKey));
     value["stream"] = true;
+    value["max_tokens"] = std::get<model_call>(dispatch.kind).maxTokens;
     value["request_id"] = dispatch.requestId;
     value["priority"] = dispatch.priority;
     value["program"] = dispatch.program;
--- a/src/caller_api/caller_api_test.cc
+++ b/src/caller_api/caller_api_test.cc
@@ -69,9 +69,9 @@
     EXPECT_EQ(model.maxTokens, 50U);
     EXPECT_TRUE(model.stream);
     EXPECT_EQ(model.history.size(), 5U);
-    EXPECT_EQ(call.newMessages.size(), 2U);
-    EXPECT_EQ(call.newMessages.at(0), (message{"user", "c"}));
-    EXPECT_EQ(call.newMessages.at(1).content, R"({"content":[{"text":"x","type":"text"}]})");
+    ASSERT_EQ(call.messages->size(), 5U);
+    EXPECT_EQ(call.messages->at(3), (message{"user", "c"}));
+    EXPECT_EQ(call.messages->at(4).content, R"({"content":[{"text":"x","type":"text"}]})");
 }
 
 // Guards against a resend that is taken for another request, and against another request that is taken for a resend.
@@ -196,7 +196,7 @@
     dispatch.requestId = "d7";
     dispatch.program = "wanza/p1";
     dispatch.priority = 1;
-    dispatch.kind = model_call{};
+    dispatch.kind = model_call{.model = "tide-7b", .history = {}, .maxTokens = 50};
     dispatch.body = std::make_shared<const std::string>(chatBody().dump());
     const auto engine = json::parse(endpointBody(dispatch));
     EXPECT_FALSE(engine.contains("jackdawpick"));
