settings: check policy names against the scheduler's tables

Change: the three scheduler keys accept exactly orderNames, routingNames and admissionNames. Conclusion: unknown policies are refused with file, line and choices.

--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -1,6 +1,7 @@
 #include "settings/settings.h"
 
 #include "results/results.h"
+#include "scheduler/scheduler_options.h"
 #include "toml_text/toml_text.h"
 
 #include <algorithm>
@@ -35,7 +36,9 @@
     Address,
     LogLevel,
     Secret,
-    PolicyName,
+    OrderPolicy,
+    RoutingPolicy,
+    AdmissionPolicy,
 };
 
 struct setting_row
@@ -124,11 +127,11 @@
         "Time for which callers may keep a list of entry addresses."},
     row{"drain", "bound_ms", &settings_type::drainBound, "ms", 0, 3600000, text_form::None, false,
         "Longest time that a drain waits for calls in flight."},
-    row{"scheduler", "order", &settings_type::order, "-", 1, 64, text_form::PolicyName, false,
+    row{"scheduler", "order", &settings_type::order, "-", 0, 0, text_form::OrderPolicy, false,
         "Policy that orders waiting calls."},
-    row{"scheduler", "routing", &settings_type::routing, "-", 1, 64, text_form::PolicyName, false,
+    row{"scheduler", "routing", &settings_type::routing, "-", 0, 0, text_form::RoutingPolicy, false,
         "Policy that chooses the endpoint."},
-    row{"scheduler", "admission", &settings_type::admission, "-", 1, 64, text_form::PolicyName, false,
+    row{"scheduler", "admission", &settings_type::admission, "-", 0, 0, text_form::AdmissionPolicy, false,
         "Policy that refuses calls."},
 };
 
@@ -137,7 +140,30 @@
     return fmt::format("{}.{}", key.table, key.name);
 }
 
-constexpr std::array<std::string_view, 4> logLevels{"debug", "info", "warning", "error"};
+// The names that a string of this form chooses from; empty for free text.
+std::vector<std::string_view> choicesOf(text_form form)
+{
+    std::vector<std::string_view> names;
+    const auto take = [&names](const auto &table) {
+        std::ranges::transform(table, std::back_inserter(names), [](const auto &entry) { return entry.first; });
+    };
+    switch (form) {
+    case text_form::LogLevel:
+        return {"debug", "info", "warning", "error"};
+    case text_form::OrderPolicy:
+        take(orderNames);
+        break;
+    case text_form::RoutingPolicy:
+        take(routingNames);
+        break;
+    case text_form::AdmissionPolicy:
+        take(admissionNames);
+        break;
+    default:
+        break;
+    }
+    return names;
+}
 
 bool consistsOf(std::string_view text, std::string_view furtherCharacters)
 {
@@ -194,11 +220,12 @@
     case text_form::Address:
         return key.required ? "an address \"ip:port\"" : "an address \"ip:port\" or empty";
     case text_form::LogLevel:
-        return fmt::format("one of {}", fmt::join(logLevels, ", "));
+    case text_form::OrderPolicy:
+    case text_form::RoutingPolicy:
+    case text_form::AdmissionPolicy:
+        return fmt::format("one of {}", fmt::join(choicesOf(key.form), ", "));
     case text_form::Secret:
         return fmt::format("{} to {} characters or empty", key.lowest, key.highest);
-    case text_form::PolicyName:
-        return "the name of a policy: small letters, digits or '_'";
     }
     return {};
 }
@@ -219,12 +246,14 @@
     case text_form::Address:
         return (text.empty() && !key.required) || isAddress(text);
     case text_form::LogLevel:
-        return std::ranges::find(logLevels, text) != logLevels.end();
+    case text_form::OrderPolicy:
+    case text_form::RoutingPolicy:
+    case text_form::AdmissionPolicy: {
+        const auto choices = choicesOf(key.form);
+        return std::ranges::find(choices, text) != choices.end();
+    }
     case text_form::Secret:
         return text.empty() || fitsLength;
-    case text_form::PolicyName:
-        return fitsLength && consistsOf(text, "_")
-            && std::ranges::none_of(text, [](unsigned char c) { return std::isupper(c) != 0; });
     }
     return false;
 }
--- a/src/settings/settings_test.cc
+++ b/src/settings/settings_test.cc
@@ -97,6 +97,16 @@
     EXPECT_EQ(ofDaemon("http_port = 0\nadmin_port = 0\npeer_port = 0\n"), "");
 }
 
+// Guards against a policy that the scheduler does not know, found only after the daemon has joined.
+TEST(Settings, PoliciesAreThoseOfTheScheduler)
+{
+    EXPECT_EQ(problems(minimal + "[scheduler]\norder = \"fifo\"\nrouting = \"\"\nadmission = \"none\"\n"),
+              "d.toml:8: scheduler.order: expected one of first_come_first_served, rank_first, attained_service "
+              "(code 602)\n"
+              "d.toml:9: scheduler.routing: expected one of random, round_robin, least_loaded, program_hash, "
+              "prefix_affinity, sbqa (code 602)\n");
+}
+
 // Guards against host names, which the daemons do not resolve, and against numbers that other parsers read as octal.
 TEST(Settings, AddressesAreIpNumbersWithPorts)
 {
