--- a/bench/soak/fake_endpoints.cc
+++ b/bench/soak/fake_endpoints.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <fmt/format.h>
-#include <ranges>
 
 namespace jackdawpick
 {
@@ -155,9 +154,12 @@
 {
     host_state &host = m_hosts.at(endpoint);
     host.cache.clear();
-    const auto lost =
-        m_running | std::views::filter([&](const auto &entry) { return entry.second == endpoint; }) | std::views::keys;
-    const std::vector<std::pair<std::size_t, dispatch_id>> dispatches(lost.begin(), lost.end());
+    std::vector<std::pair<std::size_t, dispatch_id>> dispatches;
+    for (const auto &[running, where] : m_running) {
+        if (where == endpoint) {
+            dispatches.push_back(running);
+        }
+    }
     for (const auto &[daemon, dispatch] : dispatches) {
         cancel(daemon, dispatch);
         schedule(now + 1ms, daemon, failed(dispatch, failure_kind::ConnectionLost, true));
