--- a/src/ownership/ownership.cc
+++ b/src/ownership/ownership.cc
@@ -258,6 +258,12 @@
     return requests;
 }
 
+bool ownership::waitsFor(const takeover &what, const std::string &journal)
+{
+    return what.step < what.previous.size() && what.previous[what.step].journal == journal && !what.programs
+        && !what.result;
+}
+
 void ownership::beginReading(const std::string &journal, const std::set<shard_index> &shards)
 {
     const std::uint64_t sequence = m_foreignSequences.try_emplace(journal, 1).first->second;
@@ -267,11 +273,12 @@
                           .replays = {}};
     for (const shard_index shard : shards) {
         const auto found = m_takeovers.find(shard);
-        if (found == m_takeovers.end()) {
+        // The takeover that asked for the journal may have been superseded, even by a later one of the same shard.
+        if (found == m_takeovers.end() || !waitsFor(found->second, journal)) {
             continue;
         }
         const takeover &what = found->second;
-        reader.writer = what.previous.at(what.step).daemon;
+        reader.writer = what.previous[what.step].daemon;
         reader.seal.push_back({shard, what.token});
         reader.replays.emplace(shard, shard);
     }
--- a/src/ownership/ownership.h
+++ b/src/ownership/ownership.h
@@ -162,6 +162,7 @@
     void continueTakeover(shard_index shard);
     void restore(shard_index shard, takeover &what, std::vector<replayed_program> programs);
     void submitSnapshots(shard_index shard, takeover &what);
+    static bool waitsFor(const takeover &what, const std::string &journal);
     void beginReading(const std::string &journal, const std::set<shard_index> &shards);
     void finishReading(const std::string &journal);
     void onOwnSeal(const shards_sealed &seal, std::vector<shard_index> &lost);
