--- a/bench/policy/fake_engine.cc
+++ b/bench/policy/fake_engine.cc
@@ -53,6 +53,7 @@
         m_queue.erase(m_queue.begin());
         engine_call &call = m_calls.at(std::get<2>(first));
         ++m_inSlots;
+        call.slotAt = m_now;
         ++m_inSlotsByRank.at(call.rank);
         cache_entry &entry = m_cache[call.program];
         if (entry.users++ == 0) {
--- a/bench/policy/fake_engine.h
+++ b/bench/policy/fake_engine.h
@@ -38,6 +38,7 @@
     token_count outputTokens = 0;
     token_count cachedTokens = 0; // Set by the engine.
     double arrivedAt = 0;
+    double slotAt = 0;
     double firstTokenAt = 0;
     double finishedAt = 0;
 };
--- a/bench/policy/simulation.cc
+++ b/bench/policy/simulation.cc
@@ -121,6 +121,7 @@
         double at;
         std::size_t program;
         std::size_t turn;
+        engine_call call;
     };
     std::vector<finished_call> m_finished;
     run_result m_result;
@@ -354,7 +355,7 @@
     m_result.wastedTokens += static_cast<double>(state.history - std::min(state.history, call.cachedTokens));
     m_result.servedTokens += static_cast<double>(call.promptTokens + call.outputTokens);
     m_states[state.root].attained += call.promptTokens - call.cachedTokens + call.outputTokens;
-    m_finished.push_back({m_now, program, state.turn});
+    m_finished.push_back({m_now, program, state.turn, call});
     const auto firstToken = std::chrono::duration<double>(call.firstTokenAt - call.arrivedAt);
     input(call.daemon,
           finished_input{call.id,
@@ -453,7 +454,8 @@
         const program_plan &plan = m_programs[call.program];
         m_result.calls.push_back({.finished = call.at,
                                   .slotSeconds = slotSeconds(m_plan.fleet, m_capacity, plan.turns[call.turn]),
-                                  .rank = plan.rank,
+                                  .queued = call.call.slotAt - call.call.arrivedAt,
+ .prefill=call.call.firstTokenAt-call.call.slotAt,.decode=call.call.finishedAt-call.call.firstTokenAt,.output=double(call.call.outputTokens),.uncached=double(call.call.promptTokens-call.call.cachedTokens),                               .rank = plan.rank,
                                   .useful = m_states[m_states[call.program].root].completed});
     }
     for (const engine_state &state : m_engines) {
--- a/bench/policy/simulation.h
+++ b/bench/policy/simulation.h
@@ -40,6 +40,11 @@
 {
     double finished = 0;
     double slotSeconds = 0; // At full batch with a cached prefix: the useful work.
+    double queued = 0; // Seconds in the engine's queue.
+    double prefill = 0; // Seconds from the slot to the first token.
+    double decode = 0;
+    double output = 0;
+    double uncached = 0;
     rank_index rank = 0;
     bool useful = false; // The program was completed.
 };
--- a/bench/policy/workload.cc
+++ b/bench/policy/workload.cc
@@ -167,7 +167,8 @@
     const double prefilling = low * newTokens / engine.prefillTokensPerSecond;
     return {.callsPerSecond = low * static_cast<double>(fleet.engines),
             .callsPerProgram = means.calls,
-            .secondsPerToken = step / (1 - engine.prefillSlowdown * prefilling)};
+            .secondsPerToken = step,
+            .prefillWeight = 1 + engine.prefillSlowdown * (engine.slots - prefilling)};
 }
 
 std::vector<program_plan> generate(const fleet_shape &fleet, double load, const flood_plan &flood, double endSeconds,
@@ -213,7 +214,7 @@
 
 double slotSeconds(const fleet_shape &fleet, const capacity_estimate &capacity, const turn_plan &turn)
 {
-    return static_cast<double>(turn.newTokens) / fleet.engine.prefillTokensPerSecond
+    return capacity.prefillWeight * static_cast<double>(turn.newTokens) / fleet.engine.prefillTokensPerSecond
         + static_cast<double>(turn.outputTokens) * capacity.secondsPerToken;
 }
 
--- a/bench/policy/workload.h
+++ b/bench/policy/workload.h
@@ -75,6 +75,7 @@
     double callsPerSecond = 0;
     std::array<double, 2> callsPerProgram{}; // By rank, sub-agents included.
     double secondsPerToken = 0; // Of one call in a full batch.
+    double prefillWeight = 1; // Slot seconds per second of prefill: its own slot and what the rest of the batch loses.
 };
 
 [[nodiscard]] capacity_estimate estimateCapacity(const fleet_shape &fleet);
@@ -87,7 +88,8 @@
 // Latency of the program alone on an idle fleet with perfect caching, which no schedule can beat.
 [[nodiscard]] double idealSeconds(const fleet_shape &fleet, const std::vector<program_plan> &plans, std::size_t index);
 
-// Seconds that the call occupies a slot of a full batch when its prefix is cached.
+// Slot seconds that the call costs a full engine when its prefix is cached. Summed over the calls of the estimated
+// capacity this gives exactly the slots of the fleet, whatever part of the work is prefill.
 [[nodiscard]] double slotSeconds(const fleet_shape &fleet, const capacity_estimate &capacity, const turn_plan &turn);
 
 } // namespace jackdawpick::bench
