--- a/src/scheduler/internal/admission.cc
+++ b/src/scheduler/internal/admission.cc
@@ -141,7 +141,8 @@
     const dispatch_rates rates = dispatchRates(what);
     const double rate = std::max({rates.ownAndBelow, shareOf(what, what.call.rank) * rates.all, 0.1});
     const double refused = what.queue.refused.at(what.call.rank).perSecond(what.now);
-    const double least = std::chrono::duration<double>(policy.minRetry).count();
+    // A refusal without a queue means a full pool, whose state changes within about one wait that the rank accepts.
+    const double least = std::chrono::duration<double>(queueTarget(what)).count();
     const double wait = std::max(least, estimatedWaitSeconds(what)) * (1 + refused / rate);
     const auto retry = std::chrono::milliseconds(static_cast<std::int64_t>(wait * 1000));
     return std::clamp(retry, policy.minRetry, policy.maxRetry);
--- a/src/scheduler/scheduler_options.h
+++ b/src/scheduler/scheduler_options.h
@@ -95,8 +95,8 @@
 {
     // Load of the pool up to which all new programs are admitted, and from which none is; in between the part falls
     // linearly, since the reports that daemons decide by lag and would make them admit and refuse in step.
-    double fullAdmissionLoad = 0.85;
-    double noAdmissionLoad = 0.97;
+    double fullAdmissionLoad = 0.92;
+    double noAdmissionLoad = 0.99;
     std::chrono::milliseconds minRetry{500};
     std::chrono::milliseconds maxRetry{30000};
 };
