--- a/standins/platform/engine_model.cc
+++ b/standins/platform/engine_model.cc
@@ -49,7 +49,7 @@
                 {"cache_event_delay_ms", static_cast<double>(options.cacheEventDelay.count())},
                 {"cache_event_loss", options.cacheEventLoss}})
     , m_random(seed)
-    , m_models(options.models)
+    , m_models(options.models.begin(), options.models.end())
 {
 }
 
--- a/standins/platform/engine_model.h
+++ b/standins/platform/engine_model.h
@@ -36,7 +36,7 @@
     std::chrono::milliseconds modelLoadTime{1000};
     bool loadsFromStore = false; // A load order waits for finishLoad() instead of modelLoadTime.
     bool checksFencing = true;
-    std::set<std::string> models{}; // Loaded at start; empty: any model is served.
+    std::vector<std::string> models{}; // Loaded at start; empty: any model is served.
 };
 
 enum class run_id : std::uint64_t {};
--- a/standins/platform/standin_main.cc
+++ b/standins/platform/standin_main.cc
@@ -90,7 +90,7 @@
     engine.loadsFromStore = !options.weightStore.empty();
     std::istringstream models(text(given, "--models"));
     for (std::string model; std::getline(models, model, ',');) {
-        engine.models.insert(model);
+        engine.models.push_back(model);
     }
     if (engine.slots == 0 || engine.chunkTokens == 0 || engine.tokensPerSecond <= 0
         || engine.prefillTokensPerSecond <= 0) {
--- a/standins/platform/standin_server.cc
+++ b/standins/platform/standin_server.cc
@@ -64,7 +64,8 @@
         for (const auto &[name, value] : m_faults.all()) {
             std::visit([&values, &key = name](const auto &v) { values[key] = v; }, value);
         }
-        answer(request.id, 200, {{"faults", values}, {"silent_requests", m_silent.size()}});
+        answer(request.id, 200,
+               {{"faults", values}, {"open_requests", m_open.size()}, {"silent_requests", m_silent.size()}});
     } else {
         m_request(request);
     }
