--- a/bench/soak/fake_endpoints.cc
+++ b/bench/soak/fake_endpoints.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <utility>
 
 namespace jackdawpick
 {
@@ -74,6 +75,7 @@
     ++m_runs[request.requestId];
     if (std::holds_alternative<model_call>(request.kind)) {
         host.cache.insert(request.program);
+        host.events.push_back({.sequence = ++host.lastEvent, .stored = true, .program = request.program, .tokens = 1});
     }
 }
 
@@ -219,6 +221,22 @@
     return list;
 }
 
+std::map<std::string, std::vector<cache_event>> fake_endpoints::takeCacheEvents(bool gaps)
+{
+    constexpr double lossProbability = 0.05;
+    std::map<std::string, std::vector<cache_event>> taken;
+    for (auto &[name, host] : m_hosts) {
+        auto events = std::exchange(host.events, {});
+        if (gaps) {
+            std::erase_if(events, [this](const cache_event &) { return chance(lossProbability); });
+        }
+        if (!events.empty()) {
+            taken[name] = std::move(events);
+        }
+    }
+    return taken;
+}
+
 std::uint32_t fake_endpoints::runs(const std::string &requestId) const
 {
     const auto found = m_runs.find(requestId);
--- a/bench/soak/fake_endpoints.h
+++ b/bench/soak/fake_endpoints.h
@@ -52,6 +52,8 @@
     [[nodiscard]] std::optional<time_point> nextDeadline() const;
 
     [[nodiscard]] std::vector<host_entry> hosts(time_point now) const; // The lagging list.
+    // Cache events of the engines since the last call, by endpoint: late and, with `gaps`, incomplete.
+    [[nodiscard]] std::map<std::string, std::vector<cache_event>> takeCacheEvents(bool gaps);
     // How often the request of this identity (program and turn) ran on a service.
     [[nodiscard]] std::uint32_t runs(const std::string &requestId) const;
     [[nodiscard]] std::set<std::string> programsWithCache() const;
@@ -67,6 +69,8 @@
         bool up = true;
         std::optional<time_point> leavingSince;
         std::set<std::string> cache; // Programs.
+        std::uint64_t lastEvent = 0;
+        std::vector<cache_event> events;
     };
     struct running_request
     {
--- a/bench/soak/soak_world.cc
+++ b/bench/soak/soak_world.cc
@@ -16,6 +16,7 @@
 constexpr std::array<std::string_view, 4> sabotageNames{"none", "drop_releases", "cross_answers", "repeat_dispatch"};
 
 constexpr auto hostListInterval = 500ms;
+constexpr auto cacheEventInterval = 2000ms;
 constexpr auto firstCallAfter = 3s; // Daemons need this long to claim the shards of a new installation.
 constexpr std::uint32_t engineCount = 3;
 constexpr std::uint32_t serviceCount = 2;
@@ -181,6 +182,7 @@
         startDaemon(i);
     }
     at(start, [this] { listHosts(); });
+    at(start, [this] { publishCacheEvents(); });
     m_log.append("configuration",
                  encodeBatch({.writer = {"operator", 1},
                               .firstSequence = 1,
@@ -603,6 +605,16 @@
     at(m_clock.now() + hostListInterval, [this] { listHosts(); });
 }
 
+void soak_world::publishCacheEvents()
+{
+    for (const auto &[endpoint, events] : m_endpoints.takeCacheEvents(m_options.faults && !m_healed)) {
+        for (std::size_t i = 0; i < m_daemons.size(); ++i) {
+            deliver(i, cache_events_received{endpoint, events});
+        }
+    }
+    at(m_clock.now() + cacheEventInterval, [this] { publishCacheEvents(); });
+}
+
 void soak_world::publishConfiguration()
 {
     const auto entry = pickEntry();
--- a/bench/soak/soak_world.h
+++ b/bench/soak/soak_world.h
@@ -125,6 +125,7 @@
     [[nodiscard]] std::optional<std::size_t> pickEntry();
     [[nodiscard]] std::optional<std::size_t> indexOf(const std::string &daemon) const;
     void listHosts();
+    void publishCacheEvents();
     void publishConfiguration();
     void drawFault();
     void heal();
--- a/src/core/calls.cc
+++ b/src/core/calls.cc
@@ -347,7 +347,8 @@
     call->bytesOffered = true;
     call->used = received.used;
     const auto firstToken = call->firstTokenAt.value_or(now) - call->dispatchedAt;
-    table.onFinished(call->endpoint, call->call.contentDigest, received.used, firstToken, now - call->dispatchedAt, now);
+    table.onFinished(call->endpoint, call->call.contentDigest, received.used, firstToken, now - call->dispatchedAt,
+                     now);
     queue.onServed(call->rank, call->pool,
                    received.used.promptTokens - std::min(received.used.cachedTokens, received.used.promptTokens)
                        + received.used.completionTokens,
@@ -366,7 +367,7 @@
         result.tokensSpent = computedPrompt + std::min<token_count>(used.completionTokens, model->maxTokens);
         result.computed = result.tokensSpent;
         const auto &endpoint = table.view(call.endpoint).name;
-        result.cacheHolders = {endpoint};
+        result.cacheHolders = holdersOf(call);
         caches.onServed(call.call.program, endpoint, prompt + used.completionTokens, now);
         counters.promptTokens += prompt;
         counters.cachedTokens += std::min(used.cachedTokens, prompt);
@@ -394,11 +395,31 @@
 // Ends the attempt so that the caller may send the same turn again.
 void core::implementation::settleNotRun(running_call &call, token_count spent)
 {
-    std::vector<log_record> records{programs.settle(
-        call.call.program, {.outcome = execution::NotRun, .tokensSpent = spent, .computed = spent}, now)};
+    std::vector<log_record> records{programs.settle(call.call.program,
+                                                    {.outcome = execution::NotRun,
+                                                     .tokensSpent = spent,
+                                                     .computed = spent,
+                                                     .answer = {},
+                                                     .cacheHolders = holdersOf(call)},
+                                                    now)};
     journalRecords(std::move(records));
 }
 
+// Engines keep the prefix of a call that failed or was cancelled, too.
+std::vector<std::string> core::implementation::holdersOf(const running_call &call) const
+{
+    std::vector<std::string> holders;
+    if (!isModelCall(call)) {
+        return holders;
+    }
+    std::ranges::transform(call.tried, std::back_inserter(holders),
+                           [this](endpoint_id id) { return table.view(id).name; });
+    if (call.attempts > 0) {
+        holders.push_back(table.view(call.endpoint).name);
+    }
+    return holders;
+}
+
 // ---- Answers ----
 
 void core::implementation::finish(running_call &call, bool durable)
--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -119,6 +119,17 @@
 void core::implementation::on(cache_events_received &received)
 {
     caches.onEvents(received.endpoint, received.events, now);
+    // A program that ran from memory during a log outage is unknown to the successor of its owner.
+    for (const auto &stored : received.events) {
+        const auto key = programKeyFrom(stored.program);
+        if (!stored.stored || !key || !owners.serves(shardOf(*key))) {
+            continue;
+        }
+        const auto *state = programs.find(*key);
+        if (state == nullptr || state->closed) {
+            caches.programGone(*key, {received.endpoint}, now);
+        }
+    }
 }
 
 void core::implementation::on(release_finished &received)
@@ -130,8 +141,8 @@
     if (slash == std::string::npos) {
         return;
     }
-    if (auto record =
-            programs.cacheReleased({received.program.substr(0, slash), received.program.substr(slash + 1)}, received.endpoint)) {
+    if (auto record = programs.cacheReleased({received.program.substr(0, slash), received.program.substr(slash + 1)},
+                                             received.endpoint)) {
         journalRecords({std::move(*record)});
     }
 }
--- a/src/core/internal/state.h
+++ b/src/core/internal/state.h
@@ -115,6 +115,7 @@
     void dispatch(running_call &call, const assignment &next);
     void settle(running_call &call, const call_result &result);
     void settleNotRun(running_call &call, token_count spent);
+    [[nodiscard]] std::vector<std::string> holdersOf(const running_call &call) const;
     void succeed(running_call &call, std::string answer);
     void finish(running_call &call, bool durable);
     void refuseCall(running_call &call, refusal reason); // Answers and forgets the call; it is settled already.
@@ -163,6 +164,8 @@
     void answerHistory(const history_read &read);
     void closeByRequest(const program_queried &query);
     void closeProgram(const program_key &key, close_reason reason);
+    void releaseCaches(const program_key &key, const std::vector<std::string> &holders);
+    [[nodiscard]] std::vector<std::string> resolveHolders(const std::vector<std::string> &holders) const;
     void answer(request_handle request, const nlohmann::json &body, std::uint16_t httpStatus = 200);
     void expireAnswers();
     void publicationDecided(const publication_outcome &outcome);
--- a/src/core/log_flow.cc
+++ b/src/core/log_flow.cc
@@ -110,9 +110,11 @@
         for (const auto &restored : opened.programs) {
             const auto &state = restored.state;
             if (state.closed) {
-                caches.programGone(state.key, state.cacheHolders, now);
+                releaseCaches(state.key, state.cacheHolders);
             } else {
-                caches.restore(state.key, state.cacheHolders, state.history.tokens, now);
+                auto named = state.cacheHolders;
+                std::erase(named, anyEndpoint);
+                caches.restore(state.key, named, state.history.tokens, now);
             }
         }
         log(opened.programs.empty() ? log_level::Debug : log_level::Info, "shard_opened",
--- a/src/core/queries.cc
+++ b/src/core/queries.cc
@@ -214,11 +214,38 @@
     for (auto &closed : programs.close(key, reason, now)) {
         ++counters.programsClosed;
         openedAt.erase(closed.key);
-        caches.programGone(closed.key, closed.cacheHolders, now);
+        releaseCaches(closed.key, closed.cacheHolders);
         journalRecords(std::move(closed.records));
     }
 }
 
+void core::implementation::releaseCaches(const program_key &key, const std::vector<std::string> &holders)
+{
+    caches.programGone(key, resolveHolders(holders), now);
+}
+
+// Where the holder is not known, every engine of the pools that the program used is told; all engines if none is known.
+std::vector<std::string> core::implementation::resolveHolders(const std::vector<std::string> &holders) const
+{
+    if (std::ranges::find(holders, anyEndpoint) == holders.end()) {
+        return holders;
+    }
+    std::set<std::string> pools;
+    for (const auto &holder : holders) {
+        if (const auto id = table.find(holder)) {
+            pools.insert(table.view(*id).pool);
+        }
+    }
+    std::vector<std::string> resolved;
+    for (const auto id : table.all()) {
+        const auto &view = table.view(id);
+        if (view.listed && view.kind == endpoint_kind::Engine && (pools.empty() || pools.contains(view.pool))) {
+            resolved.push_back(view.name);
+        }
+    }
+    return resolved;
+}
+
 // ---- Publications ----
 
 void core::implementation::on(configuration_submitted &received)
--- a/src/ledger/ledger.cc
+++ b/src/ledger/ledger.cc
@@ -111,13 +111,21 @@
                                           .reserved = intent->tokens,
                                           .idempotent = intent->idempotent};
             const auto outcome = intent->idempotent ? execution::NotRun : execution::Unknown;
-            records.emplace_back(settle(program.state.key, {.outcome = outcome, .tokensSpent = intent->tokens}, now));
+            const auto holders =
+                intent->idempotent ? std::vector<std::string>{std::string(anyEndpoint)} : std::vector<std::string>{};
+            records.emplace_back(settle(
+                program.state.key,
+                {.outcome = outcome, .tokensSpent = intent->tokens, .answer = {}, .cacheHolders = holders}, now));
         } else if (restored.mayHaveRun && program.state.reservedAhead > 0) {
             const token_count reserved = program.state.reservedAhead;
             program.call = call_in_flight{
                 .turn = program.state.settledTurn + 1, .attempt = program.state.attempt, .reserved = reserved};
-            records.emplace_back(
-                settle(program.state.key, {.outcome = execution::NotRun, .tokensSpent = reserved}, now));
+            records.emplace_back(settle(program.state.key,
+                                        {.outcome = execution::NotRun,
+                                         .tokensSpent = reserved,
+                                         .answer = {},
+                                         .cacheHolders = {std::string(anyEndpoint)}},
+                                        now));
         }
     }
     return records;
@@ -258,8 +266,7 @@
     }
     const auto held = readReceipt(*call.receipt, m_options.receiptKey);
     const auto current = m_fences.find(shard);
-    if (!held || !holdsReceiptFor(call, *held) || current == m_fences.end()
-        || held->token >= current->second) {
+    if (!held || !holdsReceiptFor(call, *held) || current == m_fences.end() || held->token >= current->second) {
         return std::nullopt;
     }
     program_state state =
@@ -276,6 +283,7 @@
     state.spent = std::max(held->spent, state.spent);
     state.carved = std::max(held->carved, state.carved);
     state.reservedAhead = 0;
+    state.cacheHolders.emplace_back(anyEndpoint);
     state.attainedService = std::max(held->attainedService, state.attainedService);
     return state;
 }
--- a/src/model/model.cc
+++ b/src/model/model.cc
@@ -41,6 +41,15 @@
     return fmt::format("{}/{}", key.customer, key.program);
 }
 
+std::optional<program_key> programKeyFrom(std::string_view text)
+{
+    const auto slash = text.find('/');
+    if (slash == std::string_view::npos) {
+        return std::nullopt;
+    }
+    return program_key{std::string(text.substr(0, slash)), std::string(text.substr(slash + 1))};
+}
+
 shard_index shardOf(const program_key &key)
 {
     const program_key root{key.customer, key.program.substr(0, key.program.find(subAgentSeparator))};
--- a/src/model/model.h
+++ b/src/model/model.h
@@ -55,6 +55,8 @@
 };
 
 [[nodiscard]] std::string toString(const program_key &key); // "customer/program"
+// Reads what toString() prints; nothing without a separator. Customers have no '/' in their names.
+[[nodiscard]] std::optional<program_key> programKeyFrom(std::string_view text);
 
 // Separates the id of a sub-agent from that of its parent: "order-17~plan".
 inline constexpr char subAgentSeparator = '~';
