--- a/src/daemon/shell.cc
+++ b/src/daemon/shell.cc
@@ -65,7 +65,7 @@
 private:
     void onPeerMessage(const std::string &peer, peer_message message);
     void onPeerChanged(const std::string &peer, bool connected);
-    void handle(event what);
+    void handle(event received);
     void setWakeUp();
 
     template<typename T> void apply(const T &what);
@@ -163,13 +163,13 @@
     setWakeUp();
 }
 
-void shell::implementation::handle(event what)
+void shell::implementation::handle(event received)
 {
-    if (const auto *list = std::get_if<host_list_received>(&what)) {
+    if (const auto *list = std::get_if<host_list_received>(&received)) {
         m_endpoints.setHosts(list->hosts);
     }
-    for (const auto &result : m_core->reduce(std::move(what), m_clock.now())) {
-        std::visit([this](const auto &effect) { apply(effect); }, result);
+    for (const auto &result : m_core->reduce(std::move(received), m_clock.now())) {
+        std::visit([this](const auto &what) { apply(what); }, result);
     }
 }
 
