--- a/standins/load/call_reply.cc
+++ b/standins/load/call_reply.cc
@@ -118,7 +118,7 @@
     }
     readRefusal(chunk, m_reply);
     readMarks(chunk, m_reply);
-    const auto id = stringOf(chunk, "request_id");
+    const auto id = stringOf(chunk, chunk.contains("request_id") ? "request_id" : "id");
     if (!id.empty() && std::ranges::find(m_reply.chunkRequestIds, id) == m_reply.chunkRequestIds.end()) {
         m_reply.chunkRequestIds.push_back(id);
     }
--- a/standins/load/entry_list.cc
+++ b/standins/load/entry_list.cc
@@ -9,22 +9,6 @@
 
 using nlohmann::json;
 
-namespace
-{
-
-std::string addressOf(const json &entry)
-{
-    if (entry.is_string()) {
-        return entry.get<std::string>();
-    }
-    if (entry.is_object() && entry.contains("address") && entry["address"].is_string()) {
-        return entry["address"].get<std::string>();
-    }
-    return {};
-}
-
-} // namespace
-
 entry_list::entry_list(std::vector<std::string> seeds)
     : m_seeds(std::move(seeds))
 {
@@ -36,10 +20,17 @@
     if (!answer.is_object()) {
         return false;
     }
-    const json entries = answer.contains("addresses") ? answer["addresses"] : answer.value("entries", json::array());
     zone_list list;
-    std::ranges::transform(entries, std::back_inserter(list.addresses), addressOf);
-    std::erase(list.addresses, std::string());
+    std::string nearestZone;
+    for (const auto &entry : answer.value("entries", json::array())) {
+        if (!entry.is_object() || entry.value("address", "").empty()) {
+            continue;
+        }
+        const std::string entryZone = entry.value("zone", "");
+        nearestZone = list.addresses.empty() ? entryZone : nearestZone;
+        list.addresses.push_back(entry.value("address", ""));
+        list.nearest = entryZone == nearestZone ? list.addresses.size() : list.nearest;
+    }
     if (list.addresses.empty()) {
         return false;
     }
@@ -57,15 +48,19 @@
     }
 }
 
-std::optional<std::string> entry_list::choose(const std::string &zone, const std::string &avoid, time_point now) const
+std::optional<std::string> entry_list::choose(const std::string &zone, const std::string &avoid, time_point now)
 {
     const auto found = m_zones.find(zone);
     if (found == m_zones.end() || now >= found->second.validUntil) {
         return std::nullopt;
     }
-    const auto &addresses = found->second.addresses;
-    const auto other = std::ranges::find_if(addresses, [&avoid](const auto &address) { return address != avoid; });
-    return other == addresses.end() ? addresses.front() : *other;
+    auto &list = found->second;
+    const auto &nearest = list.addresses[list.next++ % list.nearest];
+    if (nearest != avoid) {
+        return nearest;
+    }
+    const auto other = std::ranges::find_if(list.addresses, [&avoid](const auto &address) { return address != avoid; });
+    return other == list.addresses.end() ? nearest : *other;
 }
 
 std::vector<std::string> entry_list::sources(const std::string &zone) const
--- a/standins/load/entry_list.h
+++ b/standins/load/entry_list.h
@@ -26,16 +26,18 @@
     bool update(const std::string &zone, const std::string &body, time_point now);
     // After a broken connection: the next choose() asks for a new list.
     void drop(const std::string &zone);
-    // The nearest address other than `avoid` (taken only if it is the sole one); nothing if there is no valid list.
-    [[nodiscard]] std::optional<std::string> choose(const std::string &zone, const std::string &avoid,
-                                                    time_point now) const;
+    // The daemons of the nearest zone in turn, then any other; `avoid` only if it is the sole one. Nothing if there is
+    // no valid list.
+    [[nodiscard]] std::optional<std::string> choose(const std::string &zone, const std::string &avoid, time_point now);
     // Where to ask for a list: the last known addresses, then those given at start.
     [[nodiscard]] std::vector<std::string> sources(const std::string &zone) const;
 
 private:
     struct zone_list
     {
-        std::vector<std::string> addresses;
+        std::vector<std::string> addresses; // Nearest first.
+        std::size_t nearest = 1; // Addresses of the nearest zone.
+        std::size_t next = 0;
         time_point validUntil{};
     };
 
--- a/standins/load/load_runner.cc
+++ b/standins/load/load_runner.cc
@@ -47,7 +47,7 @@
     });
 }
 
-const load_report &load_runner::report() const
+const run_report &load_runner::report() const
 {
     return m_report;
 }
--- a/standins/load/load_runner.h
+++ b/standins/load/load_runner.h
@@ -8,7 +8,7 @@
 //   fmt::print("{}", runner.report().table());
 
 #include "load/entry_list.h"
-#include "load/load_report.h"
+#include "load/run_report.h"
 
 #include <functional>
 #include <memory>
@@ -32,7 +32,7 @@
 
     // Calls `done` once all programs have ended and the counts have been read.
     void start(std::function<void()> done);
-    [[nodiscard]] const load_report &report() const;
+    [[nodiscard]] const run_report &report() const;
 
 private:
     struct running_program
@@ -74,7 +74,7 @@
     std::size_t m_countsLeft = 0;
     std::vector<effect_count> m_counts;
     bool m_finished = false;
-    load_report m_report;
+    run_report m_report;
     std::function<void()> m_done;
 };
 
--- a/standins/load/load_report.cc
+++ b/standins/load/run_report.cc
@@ -1,4 +1,4 @@
-#include "load/load_report.h"
+#include "load/run_report.h"
 
 #include <algorithm>
 #include <cmath>
@@ -34,7 +34,7 @@
     return values[std::clamp<std::size_t>(index, 1, values.size()) - 1];
 }
 
-void load_report::add(const program_plan &plan, const program_outcome &outcome, duration latency, bool subAgent)
+void run_report::add(const program_plan &plan, const program_outcome &outcome, duration latency, bool subAgent)
 {
     auto &rank = m_ranks[plan.rank];
     if (subAgent) {
@@ -65,7 +65,7 @@
     m_services.push_back(outcome.services);
 }
 
-void load_report::judge(const std::vector<effect_count> &counts)
+void run_report::judge(const std::vector<effect_count> &counts)
 {
     std::map<std::string, effect_count> effects;
     for (const auto &count : counts) {
@@ -93,22 +93,22 @@
     }
 }
 
-void load_report::noteUnreadable(const std::string &address)
+void run_report::noteUnreadable(const std::string &address)
 {
     m_unreadable.push_back(address);
 }
 
-const call_faults &load_report::faults() const
+const call_faults &run_report::faults() const
 {
     return m_faults;
 }
 
-bool load_report::isClean() const
+bool run_report::isClean() const
 {
     return m_faults == call_faults{} && m_unreadable.empty();
 }
 
-nlohmann::json load_report::json() const
+nlohmann::json run_report::json() const
 {
     nlohmann::json ranks = nlohmann::json::object();
     for (const auto &[name, figures] : m_ranks) {
@@ -135,7 +135,7 @@
             {"false_not_run", m_faults.falseNotRun}};
 }
 
-std::string load_report::table() const
+std::string run_report::table() const
 {
     std::string text = fmt::format("{:<12} {:>8} {:>6} {:>8} {:>8} {:>15}\n", "rank", "finished", "failed", "p50 s",
                                    "p95 s", "first token p95");
--- a/standins/load/load_report.h
+++ b/standins/load/run_report.h
@@ -2,7 +2,7 @@
 
 // Sums up a run and judges it with the counts of the service stand-ins.
 //
-//   load_report report;
+//   run_report report;
 //   report.add(plan, outcome, latency);
 //   report.judge(counts);
 //   fmt::print("{}", report.table());
@@ -25,7 +25,7 @@
 
 [[nodiscard]] std::vector<effect_count> countsFromBody(const std::string &body);
 
-class load_report
+class run_report
 {
 public:
     // `latency` of a finished program that is no sub-agent is counted by rank.
