daemon: add jackdawpickd with its servers, clients and peer links

The shell turns effects of the reducer into I/O and I/O into events: callers' and operators' ports, log and host list, engines and services, links between daemons.

--- a/src/caller_api/caller_api.cc
+++ b/src/caller_api/caller_api.cc
@@ -330,4 +330,29 @@
     return fmt::format("data: {}\n\n{}", refusalJson(reason), streamDone);
 }
 
+std::string streamEndOf(const std::string &answer)
+{
+    json value = json::parse(answer, nullptr, false);
+    std::string text;
+    if (value.is_object()) {
+        const auto content = json::json_pointer("/choices/0/message/content");
+        if (value.value(json::json_pointer("/jackdawpick/replayed"), false)) {
+            text = streamEvent(value.value("id", ""), value.value(content, ""));
+        }
+        value["object"] = "chat.completion.chunk";
+        value["choices"] = json::array({{{"index", 0}, {"delta", json::object()}, {"finish_reason", "stop"}}});
+    }
+    return fmt::format("{}{}{}", text, eventLine(value.is_discarded() ? json::object() : value), streamDone);
+}
+
+std::chrono::milliseconds retryAfterOf(const std::string &text)
+{
+    const json value = json::parse(text, nullptr, false);
+    const json::json_pointer place("/error/retry_after_ms");
+    if (!value.is_object() || !value.contains(place) || !value.at(place).is_number_unsigned()) {
+        return {};
+    }
+    return std::chrono::milliseconds(value.at(place).get<std::uint32_t>());
+}
+
 } // namespace jackdawpick
--- a/src/caller_api/caller_api.h
+++ b/src/caller_api/caller_api.h
@@ -39,4 +39,9 @@
 // A refusal within a stream, followed by "data: [DONE]\n\n".
 [[nodiscard]] std::string streamRefusal(const refusal &reason);
 
+// For answers that another daemon has formatted: the end of a stream from a text of answerJson(), and the retry time in
+// a text of refusalJson(), 0 in any other.
+[[nodiscard]] std::string streamEndOf(const std::string &answer);
+[[nodiscard]] std::chrono::milliseconds retryAfterOf(const std::string &text);
+
 } // namespace jackdawpick
--- /dev/null
+++ b/src/daemon/internal/core_settings.cc
@@ -0,0 +1,51 @@
+#include "daemon/internal/core_settings.h"
+
+#include "scheduler/scheduler_options.h"
+
+#include <fmt/format.h>
+
+namespace jackdawpick
+{
+
+namespace
+{
+
+template<typename Policy>
+Policy required(const std::optional<Policy> &policy, const std::string &key, const std::string &name)
+{
+    if (!policy) {
+        throw error(result_code::SettingsInvalid, fmt::format("scheduler.{}: no policy is called \"{}\"", key, name));
+    }
+    return *policy;
+}
+
+} // namespace
+
+core_options coreOptions(const daemon_settings &settings, const member_identity &self)
+{
+    auto scheduling = std::make_shared<scheduler_options>();
+    scheduling->order = required(orderFromName(settings.order), "order", settings.order);
+    scheduling->routing = required(routingFromName(settings.routing), "routing", settings.routing);
+    scheduling->admission = required(admissionFromName(settings.admission), "admission", settings.admission);
+    core_options options;
+    options.self = self;
+    options.seed = self.daemon.incarnation;
+    options.logAppendsPerSecond = settings.appendsPerSecond;
+    options.retention = settings.retention;
+    options.configurationPoll = settings.configurationPoll;
+    options.ownershipPoll = settings.ownershipPoll;
+    options.logTimeout = settings.logTimeout;
+    options.endpointSilence = settings.silence;
+    options.drainBound = settings.drainBound;
+    options.maxBufferedBytes = settings.maxBufferedBytes;
+    options.maxAttempts = settings.maxAttempts;
+    options.receiptKey = settings.receiptKey;
+    options.members.neighboursEachSide = settings.neighboursEachSide;
+    options.members.heartbeatInterval = settings.heartbeatInterval;
+    options.members.suspectAfter = settings.suspectAfter;
+    options.members.entryKeep = settings.entryKeep;
+    options.scheduling = std::move(scheduling);
+    return options;
+}
+
+} // namespace jackdawpick
--- /dev/null
+++ b/src/daemon/internal/platform_client.h
@@ -0,0 +1,48 @@
+#pragma once
+
+// Requests to the log service and polls of the host list.
+
+#include "core/events.h"
+#include "net/net.h"
+
+#include <functional>
+
+namespace jackdawpick
+{
+
+struct platform_options
+{
+    std::string logAddress;
+    std::string hostListAddress;
+    std::chrono::milliseconds logTimeout{1000};
+    std::chrono::milliseconds hostListPoll{1000};
+};
+
+class platform_client
+{
+public:
+    platform_client(net::loop &loop, platform_options options, std::function<void(event)> post);
+
+    // Starts polling the host list.
+    void start();
+    void send(const log_request &request);
+
+private:
+    void append(const append_request &request);
+    void read(const read_request &request);
+    void pollHosts();
+
+    net::loop &m_loop;
+    platform_options m_options;
+    std::function<void(event)> m_post;
+    bool m_hostsPending = false;
+    bool m_hostsFailed = false; // Reported once for each outage.
+};
+
+// The body of GET /hosts; nothing if it is not a host list. Entries that are not valid are left out and counted in
+// `skipped`.
+[[nodiscard]] std::optional<std::vector<host_entry>> parseHostList(const std::string &body, std::size_t &skipped);
+// The body of GET /streams/{stream}; `ok` is false if it is not valid.
+[[nodiscard]] read_result parseLogPage(const std::string &stream, const std::string &body);
+
+} // namespace jackdawpick
