--- a/src/ledger/ledger.cc
+++ b/src/ledger/ledger.cc
@@ -96,7 +96,7 @@
 {
     std::vector<log_record> records;
     m_byShard[shard.shard];
-    m_previousFences[shard.shard] = shard.previousToken;
+    m_fences[shard.shard] = shard.token;
     for (const auto &restored : shard.programs) {
         live_program &program = insert(restored.state, programLease, now);
         if (program.state.closed) {
@@ -111,13 +111,21 @@
                                           .reserved = intent->tokens,
                                           .idempotent = intent->idempotent};
             const auto outcome = intent->idempotent ? execution::NotRun : execution::Unknown;
-            records.emplace_back(settle(program.state.key, {.outcome = outcome, .tokensSpent = intent->tokens}, now));
+            const auto holders =
+                intent->idempotent ? std::vector<std::string>{std::string(anyEndpoint)} : std::vector<std::string>{};
+            records.emplace_back(settle(
+                program.state.key,
+                {.outcome = outcome, .tokensSpent = intent->tokens, .answer = {}, .cacheHolders = holders}, now));
         } else if (restored.mayHaveRun && program.state.reservedAhead > 0) {
             const token_count reserved = program.state.reservedAhead;
             program.call = call_in_flight{
                 .turn = program.state.settledTurn + 1, .attempt = program.state.attempt, .reserved = reserved};
-            records.emplace_back(
-                settle(program.state.key, {.outcome = execution::NotRun, .tokensSpent = reserved}, now));
+            records.emplace_back(settle(program.state.key,
+                                        {.outcome = execution::NotRun,
+                                         .tokensSpent = reserved,
+                                         .answer = {},
+                                         .cacheHolders = {std::string(anyEndpoint)}},
+                                        now));
         }
     }
     return records;
@@ -137,7 +145,7 @@
         m_programs.erase(program);
     }
     m_byShard.erase(found);
-    m_previousFences.erase(shard);
+    m_fences.erase(shard);
 }
 
 ledger::live_program &ledger::insert(program_state state, duration lease, time_point now)
@@ -257,9 +265,8 @@
         return std::nullopt;
     }
     const auto held = readReceipt(*call.receipt, m_options.receiptKey);
-    const auto previous = m_previousFences.find(shard);
-    if (!held || !holdsReceiptFor(call, *held) || previous == m_previousFences.end()
-        || held->token != previous->second) {
+    const auto current = m_fences.find(shard);
+    if (!held || !holdsReceiptFor(call, *held) || current == m_fences.end() || held->token >= current->second) {
         return std::nullopt;
     }
     program_state state =
@@ -276,6 +283,7 @@
     state.spent = std::max(held->spent, state.spent);
     state.carved = std::max(held->carved, state.carved);
     state.reservedAhead = 0;
+    state.cacheHolders.emplace_back(anyEndpoint);
     state.attainedService = std::max(held->attainedService, state.attainedService);
     return state;
 }
