--- a/src/core/log_flow.cc
+++ b/src/core/log_flow.cc
@@ -75,7 +75,10 @@
         }
     } else if (result.stream == configurationStream.name()) {
         onConfiguration(configurationStream.onRead(result, now));
-        configurationEstablished = configurationEstablished || configurationStream.caughtUp();
+        if (!configurationEstablished && configurationStream.caughtUp()) {
+            configurationEstablished = true;
+            configurations.onCaughtUp(now);
+        }
     }
     // Ownership reads the own journal too when it restores a shard that this daemon owned before.
     if (result.tag == 0 && owners.handlesStream(result.stream)) {
