load: accept the daemon's names, ask again while ownership moves

Cause: the first demo run failed all 240 programs as MalformedRequest, since request ids held slashes; the second failed 4 programs after the kill, since three answers OwnershipLost were taken as final (3) and the next turn was sent (1 TurnOutOfOrder). Change: request ids without slashes; OwnershipLost is asked again until the caller's patience ends; one test each.

--- a/standins/load/call_reply.cc
+++ b/standins/load/call_reply.cc
@@ -40,7 +40,8 @@
     reply.refusal = reply_refusal{.code = static_cast<result_code>(numberOf(*found, "code")),
                                   .name = stringOf(*found, "name"),
                                   .outcome = executionOf(stringOf(*found, "execution")),
-                                  .retryAfter = std::chrono::milliseconds(numberOf(*found, "retry_after_ms"))};
+                                  .retryAfter = std::chrono::milliseconds(numberOf(*found, "retry_after_ms")),
+                                  .message = stringOf(*found, "message")};
 }
 
 void readMarks(const json &answer, call_reply &reply)
--- a/standins/load/call_reply.h
+++ b/standins/load/call_reply.h
@@ -20,6 +20,7 @@
     std::string name; // As sent, also for a code that is not in the table.
     execution outcome = execution::Unknown;
     std::chrono::milliseconds retryAfter{0};
+    std::string message;
 };
 
 struct call_reply
--- a/standins/load/load_runner.cc
+++ b/standins/load/load_runner.cc
@@ -144,7 +144,9 @@
         m_entries.drop(program.caller.plan().zone);
     } else if (reply.refusal) {
         logging::write(log_level::Debug, "call_refused",
-                       {{"program", program.caller.program()}, {"code", reply.refusal->name}});
+                       {{"program", program.caller.program()},
+                        {"code", reply.refusal->name},
+                        {"message", reply.refusal->message}});
     }
     program.caller.onReply(reply, m_clock.now());
     step(program);
--- a/standins/load/program_caller.cc
+++ b/standins/load/program_caller.cc
@@ -70,11 +70,11 @@
     return m_plan.calls[m_call];
 }
 
-// The same for every resend of a turn, and different for every other turn of the run.
+// The same for every resend of a turn, and different for every other turn of the run. A slash is not allowed in it.
 std::string program_caller::requestId() const
 {
     const std::string name = m_parent.empty() ? m_plan.name : m_program;
-    return fmt::format("{}/{}/{}", m_plan.customer, name, m_turn);
+    return fmt::format("{}:{}:{}", m_plan.customer, name, m_turn);
 }
 
 std::string program_caller::operation() const
@@ -187,7 +187,8 @@
         return;
     }
     m_mayHaveRun = m_mayHaveRun || refusal.outcome != execution::NotRun;
-    if (advice == retry_advice::Later) {
+    // During a takeover, calls are refused until the new owner serves the shard; only it knows the outcome.
+    if (advice == retry_advice::Later || refusal.code == result_code::OwnershipLost) {
         retryAt(now + wait, now, refusal.name);
         return;
     }
--- a/standins/load/program_caller_test.cc
+++ b/standins/load/program_caller_test.cc
@@ -114,6 +114,14 @@
     EXPECT_EQ(caller.outcome().services.at(0).outcome, execution::Ran);
 }
 
+// Guards against names that the callers' interface refuses: all calls of a run failed as MalformedRequest.
+TEST_F(program_caller_test, RequestIdsHoldNoSeparatorsOfPaths)
+{
+    program_caller caller(m_plan, m_options, "");
+    const std::string id = sent(caller)["jackdawpick"]["request_id"];
+    EXPECT_EQ(id.find_first_of("/?#%\" "), std::string::npos) << id;
+}
+
 // Guards against a resend that the daemon could take for a new call.
 TEST_F(program_caller_test, BrokenConnectionsAndRefusalsResendTheSameTurnAfterTheWait)
 {
@@ -133,6 +141,21 @@
     EXPECT_EQ(caller.outcome().faults, call_faults{});
 }
 
+// Guards against a caller that takes a takeover longer than three answers for a final outcome and sends the next turn:
+// seen as TurnOutOfOrder in the demo.
+TEST_F(program_caller_test, LostOwnershipIsAskedAgainUntilTheNewOwnerAnswers)
+{
+    program_caller caller(m_plan, m_options, "");
+    caller.onReply(answerTo(sent(caller)), m_clock.now());
+    const auto body = sent(caller);
+    for (int refusals = 0; refusals < 8; ++refusals) {
+        caller.onReply(refusalOf(result_code::OwnershipLost), m_clock.now());
+        EXPECT_EQ(sent(caller), body);
+    }
+    caller.onReply(answerTo(body), m_clock.now());
+    EXPECT_EQ(sent(caller)["jackdawpick"]["turn"], 3);
+}
+
 // Guards against sending a payment again whose outcome the system does not know.
 TEST_F(program_caller_test, UnknownOutcomeMovesOnToTheNextTurn)
 {
@@ -198,8 +221,8 @@
               }).reordered,
               1U);
     EXPECT_EQ(faultsOf([](call_reply &reply) { reply.turn = 2; }).reordered, 1U);
-    EXPECT_EQ(faultsOf([](call_reply &reply) { reply.requestId = "wanza/p2/1"; }).mixed, 1U);
-    EXPECT_EQ(faultsOf([](call_reply &reply) { reply.chunkRequestIds = {"wanza/p1/1", "wanza/p2/1"}; }).mixed, 1U);
+    EXPECT_EQ(faultsOf([](call_reply &reply) { reply.requestId = "wanza:p2:1"; }).mixed, 1U);
+    EXPECT_EQ(faultsOf([](call_reply &reply) { reply.chunkRequestIds = {"wanza:p1:1", "wanza:p2:1"}; }).mixed, 1U);
     const std::vector<message> foreign{{.role = "user", .content = "other"}};
     const auto plan = planAnswer(foreign, 32);
     EXPECT_EQ(faultsOf([&](call_reply &reply) { reply.content = answerTokens(plan, 0, plan.tokens); }).mixed, 1U);
