--- a/src/endpoints/endpoints.cc
+++ b/src/endpoints/endpoints.cc
@@ -220,7 +220,7 @@
     which.bestLatency = which.bestLatency == 0 ? latency : std::min(which.bestLatency * drift, latency);
     const duration pause =
         std::chrono::duration_cast<duration>(std::chrono::duration<double>(which.view.secondsPerCall));
-    if (latency > which.bestLatency * m_options.latencyTolerance) {
+    if (latency > std::max(which.bestLatency * m_options.latencyTolerance, seconds(m_options.latencyFloor))) {
         if (now - which.decreasedAt >= pause) {
             which.limit = std::max<double>(m_options.minLimit, which.limit * 0.9);
             which.decreasedAt = now;
--- a/src/endpoints/endpoints.h
+++ b/src/endpoints/endpoints.h
@@ -35,7 +35,10 @@
     std::uint32_t initialLimit = 8;
     std::uint32_t minLimit = 1;
     std::uint32_t maxLimit = 256;
-    double latencyTolerance = 6; // Time to first token, per prompt chunk, relative to the endpoint's own minimum.
+    // Overload is a time to first token, per prompt chunk, above both: this multiple of the endpoint's own minimum, and
+    // the floor, since the minimum of a short cached prompt is only some milliseconds.
+    double latencyTolerance = 6;
+    std::chrono::milliseconds latencyFloor{1000};
     std::chrono::milliseconds leavingMemory{
         60000}; // A leaving mark that the host list does not confirm ends after this.
     std::chrono::milliseconds reportLag{250}; // Age of a load report on arrival.
--- a/src/scheduler/internal/admission.cc
+++ b/src/scheduler/internal/admission.cc
@@ -11,6 +11,7 @@
 {
 
 constexpr std::size_t smallPool = 32;
+constexpr std::size_t poolSample = 16;
 constexpr double assumedCallSeconds = 5;
 constexpr std::chrono::milliseconds defaultQueueTarget{1700};
 
@@ -19,18 +20,70 @@
     return what.call.rank < what.ranks.size() ? what.ranks[what.call.rank].queueTarget : defaultQueueTarget;
 }
 
-// Calls per second that this daemon can dispatch for the rank of the call.
-double dispatchRate(const admission_request &what)
+double shareOf(const admission_request &what, std::size_t rank)
+{
+    return rank < what.ranks.size() ? what.ranks[rank].share : 0;
+}
+
+struct dispatch_rates
 {
     double all = 0;
-    double own = 0;
+    double ownAndBelow = 0; // What the rank gets when nothing more urgent waits.
+};
+
+// Calls per second that this daemon has lately dispatched.
+dispatch_rates dispatchRates(const admission_request &what)
+{
+    dispatch_rates rates;
     for (std::size_t rank = 0; rank < maxRanks; ++rank) {
         const double rate = what.queue.dispatched.at(rank).perSecond(what.now);
-        all += rate;
-        own += rank >= what.call.rank ? rate : 0;
+        rates.all += rate;
+        rates.ownAndBelow += rank >= what.call.rank ? rate : 0;
+    }
+    return rates;
+}
+
+// Mean load of the pool's usable endpoints; of a sample in a big pool.
+double poolLoad(const admission_request &what)
+{
+    const auto &members = what.table.pool(what.call.pool);
+    const std::size_t tried = std::min(members.size(), members.size() <= smallPool ? members.size() : poolSample);
+    double sum = 0;
+    std::size_t usable = 0;
+    for (std::size_t i = 0; i < tried; ++i) {
+        const endpoint_id id = members[what.queue.sampleStart++ % members.size()];
+        const endpoint_view &view = what.table.view(id);
+        if (!view.leaving && view.circuit == circuit_state::Closed) {
+            sum += what.table.load(id, what.now);
+            ++usable;
+        }
+    }
+    return usable == 0 ? 0 : sum / static_cast<double>(usable);
+}
+
+// Whether a new program of the rank fits: the rank and the more urgent ones together must leave the shares of the less
+// urgent ones free, or the rank must be below its own share. The parts of the ranks in the pool's load are taken from
+// this daemon's own calls, waiting ones included, since reports do not tell ranks apart.
+bool hasRoom(const target_admission &policy, const admission_request &what)
+{
+    const auto &inFlight = what.table.inFlight(what.call.pool);
+    double total = 0;
+    double upToRank = 0;
+    double ofRank = 0;
+    double reserved = 0;
+    for (std::size_t rank = 0; rank < maxRanks; ++rank) {
+        const double calls = static_cast<double>(inFlight.at(rank)) + what.queue.waiting.at(rank);
+        total += inFlight.at(rank);
+        upToRank += rank <= what.call.rank ? calls : 0;
+        ofRank += rank == what.call.rank ? calls : 0;
+        reserved += rank > what.call.rank ? shareOf(what, rank) : 0;
     }
-    const double share = what.call.rank < what.ranks.size() ? what.ranks[what.call.rank].share : 0;
-    return std::max(own, share * all);
+    const double perCall = poolLoad(what) / std::max(total, 1.0);
+    const double share = shareOf(what, what.call.rank);
+    const double byRank = upToRank * perCall / std::max(1 - reserved, 1e-3);
+    const double load = share <= 0 ? byRank : std::min(byRank, ofRank * perCall / share);
+    const double part = (policy.noAdmissionLoad - load) / (policy.noAdmissionLoad - policy.fullAdmissionLoad);
+    return part >= 1 || what.random.unit() < part;
 }
 
 // True if a small pool has no member that could take the call now or after its circuit closes.
@@ -54,14 +107,15 @@
 std::optional<refusal> verdict(const target_admission &policy, const admission_request &what)
 {
     const double target = std::chrono::duration<double>(queueTarget(what)).count();
-    const double allowed = what.call.attainedService == 0 ? target * policy.firstCallPart : target;
     const double wait = estimatedWaitSeconds(what);
-    if (wait <= allowed) {
+    const bool late = wait > target;
+    if (!late && (what.call.attainedService > 0 || hasRoom(policy, what))) {
         return std::nullopt;
     }
     what.queue.refused.at(what.call.rank).add(1, what.now);
     return refusal{.code = result_code::Overloaded,
-                   .message = fmt::format("estimated wait {:.2f} s, allowed {:.2f} s", wait, allowed),
+                   .message = late ? fmt::format("estimated wait {:.2f} s, allowed {:.2f} s", wait, target)
+                                   : fmt::format("no room for new programs of rank {}", what.call.rank),
                    .retryAfter = retryTime(policy, what)};
 }
 
@@ -74,16 +128,22 @@
     if (ahead == 0) {
         return 0;
     }
+    const dispatch_rates rates = dispatchRates(what);
     // Before any dispatch the pool counts as one that frees a slot of each endpoint once per assumed call.
     const double unknown = static_cast<double>(what.table.pool(what.call.pool).size()) / assumedCallSeconds;
-    return (ahead + 1) / std::max({dispatchRate(what), unknown, 1e-3});
+    const double byRank = (ahead + 1) / std::max({rates.ownAndBelow, unknown, 1e-3});
+    const double shared = shareOf(what, what.call.rank) * rates.all;
+    return shared <= 0 ? byRank : std::min(byRank, (what.queue.waiting.at(what.call.rank) + 1) / shared);
 }
 
 std::chrono::milliseconds retryTime(const target_admission &policy, const admission_request &what)
 {
-    const double rate = std::max(dispatchRate(what), 0.1);
+    const dispatch_rates rates = dispatchRates(what);
+    const double rate = std::max({rates.ownAndBelow, shareOf(what, what.call.rank) * rates.all, 0.1});
     const double refused = what.queue.refused.at(what.call.rank).perSecond(what.now);
-    const double wait = estimatedWaitSeconds(what) * (1 + refused / rate);
+    // A refusal without a queue means a full pool, whose state changes within about one wait that the rank accepts.
+    const double least = std::chrono::duration<double>(queueTarget(what)).count();
+    const double wait = std::max(least, estimatedWaitSeconds(what)) * (1 + refused / rate);
     const auto retry = std::chrono::milliseconds(static_cast<std::int64_t>(wait * 1000));
     return std::clamp(retry, policy.minRetry, policy.maxRetry);
 }
--- a/src/scheduler/internal/admission.h
+++ b/src/scheduler/internal/admission.h
@@ -2,6 +2,7 @@
 
 // Wait estimates and the verdict of admission policies.
 
+#include "scheduler/internal/random.h"
 #include "scheduler/internal/waiting_queue.h"
 
 namespace jackdawpick::internal
@@ -14,11 +15,13 @@
     const endpoint_table &table;
     pool_queue &queue;
     const std::vector<rank_policy> &ranks;
+    random_source &random;
     time_point now;
 };
 
-// Seconds until a new call of this rank would be dispatched: calls of its rank and of more urgent ones that wait now,
-// over the rate at which this daemon has lately dispatched calls of this and of less urgent ranks.
+// Seconds until a new call of this rank would be dispatched: the calls before it over the rate at which this daemon has
+// lately dispatched calls. The rank either waits for all more urgent calls or gets its minimum share, whichever is
+// faster.
 [[nodiscard]] double estimatedWaitSeconds(const admission_request &what);
 
 [[nodiscard]] std::optional<refusal> admitBy(const admission_policy &policy, const admission_request &what);
--- a/src/scheduler/internal/routing.cc
+++ b/src/scheduler/internal/routing.cc
@@ -29,9 +29,9 @@
 {
 }
 
-bool router::eligible(const request &what, endpoint_id id)
+bool router::eligible(const request &what, endpoint_id id, double extraLoad)
 {
-    return what.table.accepts(id, what.now) && what.table.load(id, what.now) < what.ceiling
+    return what.table.accepts(id, what.now) && what.table.load(id, what.now) < what.ceiling + extraLoad
         && std::ranges::find(what.call.excluded, id) == what.call.excluded.end()
         && !what.table.sharesWithSuspect(id, what.call.content, what.now);
 }
@@ -156,7 +156,7 @@
     };
     constexpr std::size_t holdersConsidered = 3;
     for (const route &holder : m_holders | std::views::take(holdersConsidered)) {
-        if (what.table.load(holder.endpoint, what.now) < policy.loadBound && eligible(what, holder.endpoint)) {
+        if (what.table.load(holder.endpoint, what.now) < policy.loadBound && eligible(what, holder.endpoint, policy.holderExtra)) {
             consider(holder.endpoint, holder.cachedTokens);
         }
     }
--- a/src/scheduler/internal/routing.h
+++ b/src/scheduler/internal/routing.h
@@ -40,7 +40,7 @@
     // Running mean of what a participant got, from 0 to 1; see SbQA.
     using satisfaction_map = std::unordered_map<std::string, double>;
 
-    [[nodiscard]] static bool eligible(const request &what, endpoint_id id);
+    [[nodiscard]] static bool eligible(const request &what, endpoint_id id, double extraLoad = 0);
     // Eligible members: all of a small pool in a random rotation, a sample of a big one. At most `wanted`.
     void sample(const request &what, std::size_t wanted);
     // Adds the program's holders to m_holders, longest prefix first.
--- a/src/scheduler/internal/waiting_queue.h
+++ b/src/scheduler/internal/waiting_queue.h
@@ -29,6 +29,7 @@
     std::array<std::uint32_t, maxRanks> waiting{}; // By rank.
     std::array<decaying_count, maxRanks> dispatched; // By rank.
     std::array<decaying_count, maxRanks> refused;
+    std::size_t sampleStart = 0; // Where admission last began to sample a big pool.
 };
 
 class waiting_queue
--- a/src/scheduler/scheduler.cc
+++ b/src/scheduler/scheduler.cc
@@ -27,6 +27,7 @@
         : options(chosen)
         , queue(chosen.order)
         , router(chosen.routing, seed)
+        , random(seed + 1)
     {
     }
 
@@ -58,6 +59,7 @@
     limit_policy limits;
     internal::waiting_queue queue;
     internal::router router;
+    internal::random_source random;
     std::unordered_map<std::string, double> retryBudget;
     std::vector<std::uint32_t> passedOver; // Reused between decisions.
     std::optional<time_point> lastAssign;
@@ -82,7 +84,7 @@
 {
     auto refused = internal::admitBy(
         m_impl->options.admission,
-        {.call = call, .table = table, .queue = m_impl->queue.pool(call.pool), .ranks = m_impl->ranks, .now = now});
+        {.call = call, .table = table, .queue = m_impl->queue.pool(call.pool), .ranks = m_impl->ranks, .random = m_impl->random, .now = now});
     if (!refused) {
         double &budget = m_impl->retryBudget.try_emplace(call.program.customer, retryBurst).first->second;
         budget = std::min(retryBurst, budget + m_impl->limits.retryRatio);
--- a/src/scheduler/scheduler_options.h
+++ b/src/scheduler/scheduler_options.h
@@ -61,6 +61,7 @@
 struct prefix_affinity_routing
 {
     double loadBound = 1.5; // In units of the endpoint's slots.
+    double holderExtra = 0.2; // Added to the load ceiling for a holder: a short wait there costs less than recomputing.
     std::uint32_t choices = 2; // Random candidates beside the holders.
     std::uint32_t firstTurnChoices = 2; // For a program without any prefix, whose later turns will follow the choice.
     double recomputeWeight = 1.5; // Recomputing a prefix delays other calls too.
@@ -87,12 +88,16 @@
 {
 };
 
-// Refuses a call whose estimated wait passes its rank's queue target. The first call of a program is refused earlier
-// than later ones, since a program refused at its first call has used nothing yet.
+// Refuses a call whose estimated wait passes its rank's queue target. A new program is admitted only while the endpoints
+// have room for what its rank may use: a program stays for many calls, and one refused at its first call has used
+// nothing yet.
 struct target_admission
 {
-    double firstCallPart = 0.25; // Part of the queue target that a first call may wait.
-    std::chrono::milliseconds minRetry{200};
+    // Load of the pool up to which all new programs are admitted, and from which none is; in between the part falls
+    // linearly, since the reports that daemons decide by lag and would make them admit and refuse in step.
+    double fullAdmissionLoad = 0.92;
+    double noAdmissionLoad = 0.99;
+    std::chrono::milliseconds minRetry{500};
     std::chrono::milliseconds maxRetry{30000};
 };
 
