Bound admission by the pool's load and average the mix of ranks

Cause: a daemon has few calls in flight, so its reading of the ranks' parts is noisy; in a flood new programs are asked for so often that every low reading admits some, and the engines stayed 5% above their slots. Continuing calls were told to retry as late as new programs, which left a rank without calls for its share. Change: the parts are averaged over 2 s; a rank near its own room is also held to the load of the pool; only new programs count as refused, and the retry time of a continuing call is its estimated wait.

--- a/bench/policy/daemon_model.cc
+++ b/bench/policy/daemon_model.cc
@@ -58,8 +58,7 @@
         m_caches.onEndpointGone(m_table.view(ended.endpoint).name);
     }
     if (!m_scheduler.spendRetry(ended.call.program.customer, now)) {
-        m_out.emplace_back(
-            refuse_output{.handle = what.handle, .retryAfter = std::chrono::milliseconds(1000)});
+        m_out.emplace_back(refuse_output{.handle = what.handle, .retryAfter = std::chrono::milliseconds(1000)});
         return;
     }
     ended.call.excluded.push_back(ended.endpoint);
@@ -87,8 +86,7 @@
     std::visit([&](const auto &each) { on(each, now); }, what);
     for (const assignment &next : m_scheduler.assign(m_table, m_caches, now)) {
         const auto call = m_waiting.extract(next.handle);
-        m_inFlight.emplace(next.handle,
-                           in_flight{.call = call.mapped(), .endpoint = next.endpoint, .since = now});
+        m_inFlight.emplace(next.handle, in_flight{.call = call.mapped(), .endpoint = next.endpoint, .since = now});
         m_out.emplace_back(dispatch_output{
             .handle = next.handle, .endpoint = m_table.view(next.endpoint).name, .priority = next.priority});
     }
--- a/bench/policy/measure.cc
+++ b/bench/policy/measure.cc
@@ -198,7 +198,9 @@
 void printBaselines(const fleet_shape &fleet, result_table &results)
 {
     for (const auto *load : {"70", "90"}) {
-        for (const auto &[name, runs] : results) {
+        for (const auto &row : results) {
+            const std::string &name = row.first;
+            const seed_results &runs = row.second;
             if (!name.ends_with(fmt::format(".{}", load))) {
                 continue;
             }
@@ -227,9 +229,9 @@
         },
         1.5);
     for (const auto *load : {"70", "90"}) {
-        printBetter(fmt::format("{}.load{}.wasted_cache", name, load), results[fmt::format("least_loaded.{}", load)],
-                    results[fmt::format("ours.{}", load)], [](const run_result &run) { return run.wastedTokens / 1e6; },
-                    3);
+        printBetter(
+            fmt::format("{}.load{}.wasted_cache", name, load), results[fmt::format("least_loaded.{}", load)],
+            results[fmt::format("ours.{}", load)], [](const run_result &run) { return run.wastedTokens / 1e6; }, 3);
     }
 }
 
@@ -244,11 +246,14 @@
     }
     const double from = flood.startSeconds + adaptSeconds;
     const double to = flood.endSeconds;
-    const figure total = [=](const run_result &run) { return goodput(run, which_rank::All, from, to); };
+    const figure total = [=](const run_result &run) {
+        return goodput(run, which_rank::All, from, to);
+    };
     const double peak = std::max(meanOf(results["ours.90"], total), meanOf(results["ours.100"], total));
     for (const auto *run : {"flood2.urgent", "flood5.urgent"}) {
-        printPart(fmt::format("{}.{}.urgent_goodput", name, run), peak * (1 - fleet.routineShare), results[run],
-                  [=](const run_result &each) { return goodput(each, which_rank::Urgent, from, to); }, 0.95);
+        printPart(
+            fmt::format("{}.{}.urgent_goodput", name, run), peak * (1 - fleet.routineShare), results[run],
+            [=](const run_result &each) { return goodput(each, which_rank::Urgent, from, to); }, 0.95);
     }
     for (const auto *run : {"flood2.urgent", "flood5.urgent", "flood2.both", "flood5.both"}) {
         measured values{.baseline = fleet.routineShare, .ours = 1, .seedRatios = {}};
--- a/bench/policy/simulation.cc
+++ b/bench/policy/simulation.cc
@@ -201,8 +201,8 @@
     at(m_now + reportInterval + (m_now == 0 ? phase : 0), [this, engine] {
         engine_state &state = m_engines[engine];
         if (!state.dead) {
-            const bool late = m_plan.faults.lateReports && m_now >= m_plan.flood.startSeconds
-                && m_now < m_plan.flood.endSeconds;
+            const bool late =
+                m_plan.faults.lateReports && m_now >= m_plan.flood.startSeconds && m_now < m_plan.flood.endSeconds;
             at(m_now + (late ? lateReportDelay : reportDelay), [this, engine, report = state.engine.load()] {
                 for (std::size_t daemon = 0; daemon < m_daemons.size(); ++daemon) {
                     input(daemon, load_input{"engine" + std::to_string(engine), report});
@@ -455,7 +455,11 @@
         m_result.calls.push_back({.finished = call.at,
                                   .slotSeconds = slotSeconds(m_plan.fleet, m_capacity, plan.turns[call.turn]),
                                   .queued = call.call.slotAt - call.call.arrivedAt,
- .prefill=call.call.firstTokenAt-call.call.slotAt,.decode=call.call.finishedAt-call.call.firstTokenAt,.output=double(call.call.outputTokens),.uncached=double(call.call.promptTokens-call.call.cachedTokens),                               .rank = plan.rank,
+                                  .prefill = call.call.firstTokenAt - call.call.slotAt,
+                                  .decode = call.call.finishedAt - call.call.firstTokenAt,
+                                  .output = double(call.call.outputTokens),
+                                  .uncached = double(call.call.promptTokens - call.call.cachedTokens),
+                                  .rank = plan.rank,
                                   .useful = m_states[m_states[call.program].root].completed});
     }
     for (const engine_state &state : m_engines) {
--- a/bench/policy/workload.cc
+++ b/bench/policy/workload.cc
@@ -54,7 +54,8 @@
     plan.daemon = random() % fleet.daemons;
     plan.customer = "customer" + std::to_string(random() % 20);
     plan.startSeconds = start;
-    const auto turns = static_cast<std::size_t>(pareto(random, shape.minTurns, shape.maxTurns + 1, shape.turnsExponent));
+    const auto turns =
+        static_cast<std::size_t>(pareto(random, shape.minTurns, shape.maxTurns + 1, shape.turnsExponent));
     for (std::size_t turn = 0; turn < turns; ++turn) {
         plan.turns.push_back(makeTurn(random, turn == 0));
     }
@@ -176,7 +177,8 @@
 {
     const capacity_estimate capacity = estimateCapacity(fleet);
     std::vector<program_plan> plans;
-    const auto arrivals = [&](rank_index rank, double work, double from, double to, bool ofFlood, std::uint64_t stream) {
+    const auto arrivals = [&](rank_index rank, double work, double from, double to, bool ofFlood,
+                              std::uint64_t stream) {
         generator random(seed * 1000 + stream);
         const double rate = work * capacity.callsPerSecond / capacity.callsPerProgram.at(rank);
         if (rate <= 0) {
--- a/src/cache/cache_test.cc
+++ b/src/cache/cache_test.cc
@@ -11,14 +11,14 @@
 
 using namespace std::chrono_literals;
 
-class Cache : public ::testing::Test
+class cache_test : public ::testing::Test
 {
 protected:
     manual_clock clock;
     cache_directory caches{{}};
     program_key key{.customer = "wanza", .program = "a/b"};
 
-    void events(std::vector<cache_event> list)
+    void events(const std::vector<cache_event> &list)
     {
         caches.onEvents("e1", list, clock.now());
     }
@@ -27,7 +27,7 @@
 } // namespace
 
 // Guards against a late eviction event that makes the directory forget the prefix a newer call has stored again.
-TEST_F(Cache, EvictionOlderThanTheLastCallIsIgnored)
+TEST_F(cache_test, EvictionOlderThanTheLastCallIsIgnored)
 {
     caches.onServed(key, "e1", 1000, clock.now());
     events({{1, false, toString(key), 800}});
@@ -40,7 +40,7 @@
 }
 
 // Guards against an eviction that is ignored for ever because the event that confirms the last call was lost.
-TEST_F(Cache, EvictionCountsAfterTheLongestEventLag)
+TEST_F(cache_test, EvictionCountsAfterTheLongestEventLag)
 {
     caches.onServed(key, "e1", 1000, clock.now());
     clock.advance(3s);
@@ -49,7 +49,7 @@
 }
 
 // Guards against trusting a prefix whose eviction may have been lost in a gap.
-TEST_F(Cache, GapMakesEntriesUncertainUntilConfirmed)
+TEST_F(cache_test, GapMakesEntriesUncertainUntilConfirmed)
 {
     caches.onServed(key, "e1", 1000, clock.now());
     events({{1, true, toString(key), 1000}, {4, true, "wanza/other", 5}});
@@ -58,7 +58,7 @@
     EXPECT_EQ(caches.cachedTokens(key, "e1"), 1000U);
 }
 
-TEST_F(Cache, ReplacedEndpointHoldsNothingAndNeedsNoRelease)
+TEST_F(cache_test, ReplacedEndpointHoldsNothingAndNeedsNoRelease)
 {
     caches.onServed(key, "e1", 1000, clock.now());
     caches.onServed(key, "e2", 500, clock.now());
@@ -73,7 +73,7 @@
 }
 
 // Guards against a bound on releases in flight that turns the wake-up into a busy loop.
-TEST_F(Cache, DueReleasesWaitForAPlace)
+TEST_F(cache_test, DueReleasesWaitForAPlace)
 {
     cache_directory bounded({.maxReleasesInFlight = 1});
     bounded.programGone(key, {"e1", "e2"}, clock.now());
@@ -84,7 +84,7 @@
 
 // Guards against engine memory held for ever by ended programs: with random losses and late answers every release is
 // retried until it is acknowledged.
-TEST_F(Cache, ReleasesAreRetriedUntilAcknowledged)
+TEST_F(cache_test, ReleasesAreRetriedUntilAcknowledged)
 {
     for (std::uint32_t seed = 1; seed <= 20; ++seed) {
         SCOPED_TRACE(seed);
--- a/src/endpoints/endpoints_test.cc
+++ b/src/endpoints/endpoints_test.cc
@@ -27,10 +27,10 @@
     return hosts;
 }
 
-class Endpoints : public ::testing::Test
+class endpoints_test : public ::testing::Test
 {
 protected:
-    Endpoints()
+    endpoints_test()
     {
         table.applyHostList(engines(3), clock.now());
     }
@@ -62,7 +62,7 @@
 } // namespace
 
 // Guards against new work for a host that is shutting down, whichever source says so first.
-TEST_F(Endpoints, LeavingEndpointAcceptsNothing)
+TEST_F(endpoints_test, LeavingEndpointAcceptsNothing)
 {
     EXPECT_TRUE(table.markLeaving("e0", clock.now()));
     EXPECT_FALSE(table.markLeaving("e0", clock.now()));
@@ -77,7 +77,7 @@
 }
 
 // Guards against a restarted host that stays unused for ever because its old instance once said that it leaves.
-TEST_F(Endpoints, LeavingMarkEndsWhenTheListContradictsItForLong)
+TEST_F(endpoints_test, LeavingMarkEndsWhenTheListContradictsItForLong)
 {
     table.markLeaving("e0", clock.now());
     clock.advance(61s);
@@ -85,7 +85,7 @@
     EXPECT_TRUE(accepts(0));
 }
 
-TEST_F(Endpoints, UnlistedEndpointAcceptsNothingAndKeepsItsId)
+TEST_F(endpoints_test, UnlistedEndpointAcceptsNothingAndKeepsItsId)
 {
     table.applyHostList(engines(2), clock.now());
     EXPECT_FALSE(accepts(2));
@@ -95,7 +95,7 @@
 }
 
 // Guards against a dead endpoint that takes calls on every retry, and against probing it with many calls at once.
-TEST_F(Endpoints, CircuitOpensProbesOnceAndDoublesItsPause)
+TEST_F(endpoints_test, CircuitOpensProbesOnceAndDoublesItsPause)
 {
     for (digest content = 1; content <= 3; ++content) {
         dispatch(0, content);
@@ -118,7 +118,7 @@
 }
 
 // Guards against taking a working endpoint out because old connections to it went silent.
-TEST_F(Endpoints, SilentConnectionsDoNotOpenTheCircuitOfAnAnsweringEndpoint)
+TEST_F(endpoints_test, SilentConnectionsDoNotOpenTheCircuitOfAnAnsweringEndpoint)
 {
     for (digest content = 1; content <= 4; ++content) {
         dispatch(0, content);
@@ -133,7 +133,7 @@
 }
 
 // Guards against counting own dispatches twice or not at all while the reports lag.
-TEST_F(Endpoints, LoadIsTheReportCorrectedByDispatchesItCannotCover)
+TEST_F(endpoints_test, LoadIsTheReportCorrectedByDispatchesItCannotCover)
 {
     const auto id = static_cast<endpoint_id>(0);
     dispatch(0, 1);
@@ -149,7 +149,7 @@
 }
 
 // Guards against a request that kills one endpoint after another.
-TEST_F(Endpoints, DigestThatRanOnTwoDyingEndpointsIsQuarantined)
+TEST_F(endpoints_test, DigestThatRanOnTwoDyingEndpointsIsQuarantined)
 {
     dispatch(0, 7);
     dispatch(0, 8);
@@ -165,7 +165,7 @@
 }
 
 // Guards against blaming a request that shared both dying endpoints with the guilty one.
-TEST_F(Endpoints, SuspectsThatSharedASecondDeathAreNotQuarantined)
+TEST_F(endpoints_test, SuspectsThatSharedASecondDeathAreNotQuarantined)
 {
     for (const std::uint32_t endpoint : {0U, 1U}) {
         dispatch(endpoint, 7);
@@ -180,7 +180,7 @@
 }
 
 // Guards against quarantining a long-lived request for two unrelated deaths.
-TEST_F(Endpoints, AnswerClearsASuspect)
+TEST_F(endpoints_test, AnswerClearsASuspect)
 {
     dispatch(0, 7);
     fail(0, 7);
--- a/src/scheduler/internal/admission.cc
+++ b/src/scheduler/internal/admission.cc
@@ -1,6 +1,7 @@
 #include "scheduler/internal/admission.h"
 
 #include <algorithm>
+#include <cmath>
 #include <fmt/format.h>
 #include <numeric>
 
@@ -61,28 +62,51 @@
     return usable == 0 ? 0 : sum / static_cast<double>(usable);
 }
 
+// Parts of the ranks in the pool's load, taken from this daemon's own calls, waiting ones included, since reports do
+// not tell ranks apart. A daemon has few calls in flight, and a flood asks often enough to find every low reading of a
+// noisy value, so the parts are averaged over time.
+void updateMix(const target_admission &policy, const admission_request &what)
+{
+    const auto &inFlight = what.table.inFlight(what.call.pool);
+    const double total = std::max(1.0, std::accumulate(inFlight.begin(), inFlight.end(), 0.0));
+    const double passed = std::chrono::duration<double>(what.now - what.queue.mixAt).count();
+    const double weight = policy.mixSeconds <= 0 ? 1 : 1 - std::exp(-passed / policy.mixSeconds);
+    for (std::size_t rank = 0; rank < maxRanks; ++rank) {
+        const double part = (inFlight.at(rank) + what.queue.waiting.at(rank)) / total;
+        what.queue.mix.at(rank) += weight * (part - what.queue.mix.at(rank));
+    }
+    what.queue.mixAt = what.now;
+}
+
+// Part of the new programs to admit at this load.
+double admittedPart(double load, double full, double none)
+{
+    return std::clamp((none - load) / (none - full), 0.0, 1.0);
+}
+
 // Whether a new program of the rank fits: the rank and the more urgent ones together must leave the shares of the less
-// urgent ones free, or the rank must be below its own share. The parts of the ranks in the pool's load are taken from
-// this daemon's own calls, waiting ones included, since reports do not tell ranks apart.
+// urgent ones free, or the rank must be below its own share.
 bool hasRoom(const target_admission &policy, const admission_request &what)
 {
-    const auto &inFlight = what.table.inFlight(what.call.pool);
-    double total = 0;
+    updateMix(policy, what);
+    const double pool = poolLoad(what);
     double upToRank = 0;
-    double ofRank = 0;
     double reserved = 0;
     for (std::size_t rank = 0; rank < maxRanks; ++rank) {
-        const double calls = static_cast<double>(inFlight.at(rank)) + what.queue.waiting.at(rank);
-        total += inFlight.at(rank);
-        upToRank += rank <= what.call.rank ? calls : 0;
-        ofRank += rank == what.call.rank ? calls : 0;
-        reserved += rank > what.call.rank ? shareOf(what, rank) : 0;
+        const bool below = rank > what.call.rank;
+        upToRank += below ? 0 : what.queue.mix.at(rank);
+        reserved += below ? shareOf(what, rank) : 0;
     }
-    const double perCall = poolLoad(what) / std::max(total, 1.0);
+    const double allowed = reserved > 0 ? std::clamp(1 - reserved + policy.urgentMargin, 0.01, 1.0) : 1;
     const double share = shareOf(what, what.call.rank);
-    const double byRank = upToRank * perCall / std::max(1 - reserved, 1e-3);
-    const double load = share <= 0 ? byRank : std::min(byRank, ofRank * perCall / share);
-    const double part = (policy.noAdmissionLoad - load) / (policy.noAdmissionLoad - policy.fullAdmissionLoad);
+    double load = pool * upToRank / allowed;
+    if (share > 0) {
+        load = std::min(load, pool * what.queue.mix.at(what.call.rank) / (share + policy.shareMargin));
+    }
+    double part = admittedPart(load, policy.fullAdmissionLoad, policy.noAdmissionLoad);
+    if (load > policy.boundedFrom) {
+        part *= admittedPart(pool, policy.fullPoolLoad, policy.noPoolLoad);
+    }
     return part >= 1 || what.random.unit() < part;
 }
 
@@ -112,7 +136,9 @@
     if (!late && (what.call.attainedService > 0 || hasRoom(policy, what))) {
         return std::nullopt;
     }
-    what.queue.refused.at(what.call.rank).add(1, what.now);
+    if (what.call.attainedService == 0) {
+        what.queue.refused.at(what.call.rank).add(1, what.now);
+    }
     return refusal{.code = result_code::Overloaded,
                    .message = late ? fmt::format("estimated wait {:.2f} s, allowed {:.2f} s", wait, target)
                                    : fmt::format("no room for new programs of rank {}", what.call.rank),
@@ -138,12 +164,15 @@
 
 std::chrono::milliseconds retryTime(const target_admission &policy, const admission_request &what)
 {
-    const dispatch_rates rates = dispatchRates(what);
-    const double rate = std::max({rates.ownAndBelow, shareOf(what, what.call.rank) * rates.all, 0.1});
-    const double refused = what.queue.refused.at(what.call.rank).perSecond(what.now);
-    // A refusal without a queue means a full pool, whose state changes within about one wait that the rank accepts.
-    const double least = std::chrono::duration<double>(queueTarget(what)).count();
-    const double wait = std::max(least, estimatedWaitSeconds(what)) * (1 + refused / rate);
+    double wait = estimatedWaitSeconds(what);
+    if (what.call.attainedService == 0) {
+        // A refusal without a queue means a full pool, whose state changes within about one wait that the rank accepts;
+        // beside this call, all others that were refused lately come back.
+        const dispatch_rates rates = dispatchRates(what);
+        const double rate = std::max({rates.ownAndBelow, shareOf(what, what.call.rank) * rates.all, 0.1});
+        const double refused = what.queue.refused.at(what.call.rank).perSecond(what.now);
+        wait = std::max(wait, std::chrono::duration<double>(queueTarget(what)).count()) * (1 + refused / rate);
+    }
     const auto retry = std::chrono::milliseconds(static_cast<std::int64_t>(wait * 1000));
     return std::clamp(retry, policy.minRetry, policy.maxRetry);
 }
--- a/src/scheduler/internal/admission.h
+++ b/src/scheduler/internal/admission.h
@@ -26,7 +26,8 @@
 
 [[nodiscard]] std::optional<refusal> admitBy(const admission_policy &policy, const admission_request &what);
 
-// Retry time for a refused call: until the calls refused lately can be served besides the waiting ones.
+// Retry time for a refused call: its estimated wait; for a new program also until the new programs refused lately can
+// be served.
 [[nodiscard]] std::chrono::milliseconds retryTime(const target_admission &policy, const admission_request &what);
 
 } // namespace jackdawpick::internal
--- a/src/scheduler/internal/routing.cc
+++ b/src/scheduler/internal/routing.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
-#include <ranges>
 
 namespace jackdawpick::internal
 {
@@ -155,8 +154,9 @@
         }
     };
     constexpr std::size_t holdersConsidered = 3;
-    for (const route &holder : m_holders | std::views::take(holdersConsidered)) {
-        if (what.table.load(holder.endpoint, what.now) < policy.loadBound && eligible(what, holder.endpoint, policy.holderExtra)) {
+    for (const route &holder : std::span(m_holders).first(std::min(m_holders.size(), holdersConsidered))) {
+        if (what.table.load(holder.endpoint, what.now) < policy.loadBound
+            && eligible(what, holder.endpoint, policy.holderExtra)) {
             consider(holder.endpoint, holder.cachedTokens);
         }
     }
--- a/src/scheduler/internal/routing.h
+++ b/src/scheduler/internal/routing.h
@@ -34,7 +34,7 @@
         const endpoint_table &table;
         const cache_directory &caches;
         const std::vector<endpoint_id> &members;
-        double ceiling;
+        double ceiling = 0;
         time_point now;
     };
     // Running mean of what a participant got, from 0 to 1; see SbQA.
--- a/src/scheduler/internal/waiting_queue.h
+++ b/src/scheduler/internal/waiting_queue.h
@@ -29,6 +29,8 @@
     std::array<std::uint32_t, maxRanks> waiting{}; // By rank.
     std::array<decaying_count, maxRanks> dispatched; // By rank.
     std::array<decaying_count, maxRanks> refused;
+    std::array<double, maxRanks> mix{}; // Moving average of the ranks' parts in this daemon's calls.
+    time_point mixAt;
     std::size_t sampleStart = 0; // Where admission last began to sample a big pool.
 };
 
--- a/src/scheduler/scheduler.cc
+++ b/src/scheduler/scheduler.cc
@@ -82,9 +82,13 @@
 
 std::optional<refusal> scheduler::admit(const waiting_call &call, const endpoint_table &table, time_point now)
 {
-    auto refused = internal::admitBy(
-        m_impl->options.admission,
-        {.call = call, .table = table, .queue = m_impl->queue.pool(call.pool), .ranks = m_impl->ranks, .random = m_impl->random, .now = now});
+    auto refused = internal::admitBy(m_impl->options.admission,
+                                     {.call = call,
+                                      .table = table,
+                                      .queue = m_impl->queue.pool(call.pool),
+                                      .ranks = m_impl->ranks,
+                                      .random = m_impl->random,
+                                      .now = now});
     if (!refused) {
         double &budget = m_impl->retryBudget.try_emplace(call.program.customer, retryBurst).first->second;
         budget = std::min(retryBurst, budget + m_impl->limits.retryRatio);
--- a/src/scheduler/scheduler_options.h
+++ b/src/scheduler/scheduler_options.h
@@ -88,15 +88,26 @@
 {
 };
 
-// Refuses a call whose estimated wait passes its rank's queue target. A new program is admitted only while the endpoints
-// have room for what its rank may use: a program stays for many calls, and one refused at its first call has used
-// nothing yet.
+// Refuses a call whose estimated wait passes its rank's queue target. A new program is admitted only while the
+// endpoints have room for what its rank may use: a program stays for many calls, and one refused at its first call has
+// used nothing yet.
 struct target_admission
 {
     // Load of the pool up to which all new programs are admitted, and from which none is; in between the part falls
     // linearly, since the reports that daemons decide by lag and would make them admit and refuse in step.
     double fullAdmissionLoad = 0.92;
     double noAdmissionLoad = 0.99;
+    // The same for the load of the whole pool, only for a rank that uses more than `boundedFrom` of its own room: when
+    // several ranks flood, their parts are known less exactly than their sum, but a rank that is not the cause of an
+    // overload must not be refused for it.
+    double boundedFrom = 0.7;
+    double fullPoolLoad = 1.0;
+    double noPoolLoad = 1.08;
+    // A rank may use this much more than the shares of less urgent ranks leave: it goes first in any case, and its
+    // queue must not run dry.
+    double urgentMargin = 0.03;
+    double shareMargin = 0.03; // The same for a rank that is admitted by its own share.
+    double mixSeconds = 2; // Over which the parts of the ranks in the load are averaged; 0 for no averaging.
     std::chrono::milliseconds minRetry{500};
     std::chrono::milliseconds maxRetry{30000};
 };
--- a/src/scheduler/scheduler_test.cc
+++ b/src/scheduler/scheduler_test.cc
@@ -16,10 +16,10 @@
 
 const std::vector<rank_policy> twoRanks{{.name = "urgent", .share = 0.5}, {.name = "routine", .share = 0.3}};
 
-class Scheduling : public ::testing::Test
+class scheduling_test : public ::testing::Test
 {
 protected:
-    Scheduling()
+    scheduling_test()
     {
         setUp({}, 4, 4);
     }
@@ -89,7 +89,7 @@
 }
 
 // Guards against urgent calls behind routine ones, and within a rank against long programs before short ones.
-TEST_F(Scheduling, RankFirstThenLeastAttainedService)
+TEST_F(scheduling_test, RankFirstThenLeastAttainedService)
 {
     setUp({}, 1, 1);
     queue.enqueue(call(1, 1), clock.now());
@@ -101,7 +101,7 @@
 }
 
 // Guards against a long program that never gets its turn while short ones keep arriving.
-TEST_F(Scheduling, AgeingBoundsTheDelayOfALongProgram)
+TEST_F(scheduling_test, AgeingBoundsTheDelayOfALongProgram)
 {
     setUp({}, 1, 1);
     queue.enqueue(call(1, 0, 100000), clock.now()); // 5 s behind a fresh program at 20,000 tokens a second.
@@ -111,7 +111,7 @@
 }
 
 // Guards against moving a program away from its prefix, and against overloading the endpoint that holds it.
-TEST_F(Scheduling, PrefixHolderIsChosenUntilItIsFull)
+TEST_F(scheduling_test, PrefixHolderIsChosenUntilItIsFull)
 {
     waiting_call first = call(1);
     first.promptTokens = 20000;
@@ -127,7 +127,7 @@
     EXPECT_NE(where.at(2), static_cast<endpoint_id>(2));
 }
 
-TEST_F(Scheduling, CallThatTriedEveryEndpointDoesNotBlockTheNextOne)
+TEST_F(scheduling_test, CallThatTriedEveryEndpointDoesNotBlockTheNextOne)
 {
     waiting_call tried = call(1);
     tried.excluded = table.all();
@@ -139,7 +139,7 @@
 
 // Guards against holding calls that cannot be served in time: refused at once or, if the estimate was wrong, at the
 // target, always with a retry time.
-TEST_F(Scheduling, HopelessCallsAreRefusedWithARetryTime)
+TEST_F(scheduling_test, HopelessCallsAreRefusedWithARetryTime)
 {
     setUp({}, 1, 1);
     for (std::uint64_t handle = 1; handle <= 30; ++handle) {
@@ -163,7 +163,7 @@
     EXPECT_EQ(queue.waiting(), 0U);
 }
 
-TEST_F(Scheduling, RetriesAreBoundedByFirstAttempts)
+TEST_F(scheduling_test, RetriesAreBoundedByFirstAttempts)
 {
     int spent = 0;
     while (queue.spendRetry("c", clock.now())) {
@@ -179,13 +179,13 @@
 
 // Guards against a flood of one rank that takes the share of the other: both ranks always have calls waiting, and the
 // slots in use are compared in every 10 s window. Random lengths, seeds printed.
-TEST_F(Scheduling, EveryRankKeepsItsShareOfSlots)
+TEST_F(scheduling_test, EveryRankKeepsItsShareOfSlots)
 {
     for (std::uint32_t seed = 1; seed <= 10; ++seed) {
         SCOPED_TRACE(seed);
         std::mt19937 random(seed);
         setUp({.admission = no_admission{}}, 4, 10);
-        std::uint64_t handle = seed * 1000000;
+        std::uint64_t handle = std::uint64_t{seed} * 1000000;
         std::map<std::uint64_t, std::pair<time_point, rank_index>> running;
         for (int window = 0; window < 6; ++window) {
             double routine = 0;
@@ -221,7 +221,7 @@
 }
 
 // Guards against any policy that places a call on a leaving, excluded or full endpoint. Random events, seeds printed.
-TEST_F(Scheduling, NoPolicyBreaksTheLimitsOfEndpoints)
+TEST_F(scheduling_test, NoPolicyBreaksTheLimitsOfEndpoints)
 {
     for (const auto &[name, routing] : routingNames) {
         for (std::uint32_t seed = 1; seed <= 20; ++seed) {
