--- a/src/scheduler/internal/admission.cc
+++ b/src/scheduler/internal/admission.cc
@@ -62,9 +62,9 @@
     return usable == 0 ? 0 : sum / static_cast<double>(usable);
 }
 
-// Parts of the ranks in the pool's load, taken from this daemon's own calls, waiting ones included, since reports do not
-// tell ranks apart. A daemon has few calls in flight, and a flood asks often enough to find every low reading of a noisy
-// value, so the parts are averaged over time.
+// Parts of the ranks in the pool's load, taken from this daemon's own calls, waiting ones included, since reports do
+// not tell ranks apart. A daemon has few calls in flight, and a flood asks often enough to find every low reading of a
+// noisy value, so the parts are averaged over time.
 void updateMix(const target_admission &policy, const admission_request &what)
 {
     const auto &inFlight = what.table.inFlight(what.call.pool);
@@ -93,8 +93,9 @@
     double upToRank = 0;
     double reserved = 0;
     for (std::size_t rank = 0; rank < maxRanks; ++rank) {
-        upToRank += rank <= what.call.rank ? what.queue.mix.at(rank) : 0;
-        reserved += rank > what.call.rank ? shareOf(what, rank) : 0;
+        const bool below = rank > what.call.rank;
+        upToRank += below ? 0 : what.queue.mix.at(rank);
+        reserved += below ? shareOf(what, rank) : 0;
     }
     const double allowed = reserved > 0 ? std::clamp(1 - reserved + policy.urgentMargin, 0.01, 1.0) : 1;
     const double share = shareOf(what, what.call.rank);
--- a/src/scheduler/scheduler_options.h
+++ b/src/scheduler/scheduler_options.h
@@ -88,9 +88,9 @@
 {
 };
 
-// Refuses a call whose estimated wait passes its rank's queue target. A new program is admitted only while the endpoints
-// have room for what its rank may use: a program stays for many calls, and one refused at its first call has used
-// nothing yet.
+// Refuses a call whose estimated wait passes its rank's queue target. A new program is admitted only while the
+// endpoints have room for what its rank may use: a program stays for many calls, and one refused at its first call has
+// used nothing yet.
 struct target_admission
 {
     // Load of the pool up to which all new programs are admitted, and from which none is; in between the part falls
@@ -105,7 +105,7 @@
     double noPoolLoad = 1.08;
     // A rank may use this much more than the shares of less urgent ranks leave: it goes first in any case, and its
     // queue must not run dry.
-    double urgentMargin = 0.05;
+    double urgentMargin = 0.03;
     double shareMargin = 0.03; // The same for a rank that is admitted by its own share.
     double mixSeconds = 2; // Over which the parts of the ranks in the load are averaged; 0 for no averaging.
     std::chrono::milliseconds minRetry{500};
