--- a/standins/platform/servers.h
+++ b/standins/platform/servers.h
@@ -55,7 +55,7 @@
     void pump();
     void send(const engine_chunk &chunk);
     void send(const engine_end &end);
-    [[noreturn]] static void send(const engine_crash &crash);
+    [[noreturn]] void send(const engine_crash &crash);
 
     const clock_source &m_clock;
     engine_server_options m_options;
