--- a/bench/soak/soak_main.cc
+++ b/bench/soak/soak_main.cc
@@ -11,7 +11,7 @@
 constexpr char usageText[] = R"(Runs randomised histories of several daemons with failures and checks what must hold.
 
 Usage:
-  jackdawpick-soak [--seed=N] [--histories=N] [--daemons=N] [--programs=N] [--turns=N] [--broken=NAME] [--calm]
+  jackdawpick-soak [--seed=N] [--histories=N] [--daemons=N] [--programs=N] [--turns=N] [--broken=NAME] [--calm] [--trace]
   jackdawpick-soak --help
 
 Options:
@@ -22,6 +22,7 @@
   --turns=N      Turns of each program [default: 6].
   --broken=NAME  Breaks a mechanism to show that the checks notice [default: none].
   --calm         Without failures.
+  --trace        Prints what happens to standard error.
 
 Exit code 0 if every history kept all invariants, 1 otherwise.
 )";
@@ -40,6 +41,7 @@
     options.programs = static_cast<std::uint32_t>(number("--programs"));
     options.turns = static_cast<std::uint32_t>(number("--turns"));
     options.faults = !arguments["--calm"].asBool();
+    options.trace = arguments["--trace"].asBool();
     const auto broken = sabotageFromName(arguments["--broken"].asString());
     if (!broken) {
         fmt::print(stderr, "unknown mechanism {}\n", arguments["--broken"].asString());
--- a/bench/soak/soak_world.cc
+++ b/bench/soak/soak_world.cc
@@ -18,6 +18,7 @@
 constexpr auto hostListInterval = 500ms;
 constexpr auto cacheEventInterval = 2000ms;
 constexpr auto firstCallAfter = 3s; // Daemons need this long to claim the shards of a new installation.
+constexpr std::uint32_t maxStepsWithoutTime = 10000;
 constexpr std::uint32_t engineCount = 3;
 constexpr std::uint32_t serviceCount = 2;
 
@@ -122,7 +123,10 @@
             next = when;
         }
     };
-    consider(m_log.nextDeadline());
+    // Requests take effect when somebody takes answers; with all daemons down nobody does.
+    if (std::ranges::any_of(m_daemons, &daemon_state::up)) {
+        consider(m_log.nextDeadline());
+    }
     consider(m_endpoints.nextDeadline());
     for (const auto &daemon : m_daemons) {
         if (daemon.up) {
@@ -198,11 +202,21 @@
     at(healAt, [this] { heal(); });
     const auto end = healAt + m_options.healingTime;
     bool closing = false;
+    std::uint32_t stalled = 0;
+    const auto isDue = [this](std::optional<time_point> when) {
+        return when && *when <= m_clock.now();
+    };
     while (m_clock.now() < end && m_report.faults.empty()) {
         const auto next = nextTime();
         if (!next) {
             break;
         }
+        if (*next <= m_clock.now() && ++stalled > maxStepsWithoutTime) {
+            fault(fmt::format("time does not advance: log {} endpoints {} tasks {}", isDue(m_log.nextDeadline()),
+                              isDue(m_endpoints.nextDeadline()), !m_tasks.empty() && isDue(m_tasks.top().when)));
+            break;
+        }
+        stalled = *next > m_clock.now() ? 0 : stalled;
         m_clock.advanceTo(*next);
         step();
         if (!closing && m_healed && std::ranges::all_of(m_callers, &soak_caller::finished)) {
@@ -222,7 +236,9 @@
         for (const auto &[code, count] : caller.refusals()) {
             m_report.refusals[code] += count;
         }
-        std::ranges::copy(caller.faults(), std::back_inserter(m_report.faults));
+        for (const auto &text : caller.faults()) {
+            m_report.faults.push_back(fmt::format("seed {}: {}", m_seed, text));
+        }
     }
     return m_report;
 }
@@ -232,6 +248,9 @@
 void soak_world::startDaemon(std::size_t index)
 {
     daemon_state &daemon = m_daemons[index];
+    if (daemon.up) {
+        return;
+    }
     daemon = {};
     daemon.number = static_cast<std::uint32_t>(index);
     daemon.identity = {.daemon = {fmt::format("daemon-{}", index), ++m_lastIncarnation},
@@ -247,12 +266,14 @@
     daemon.reducer = std::make_unique<core>(std::move(options));
     daemon.logClient = m_log.addClient();
     daemon.up = true;
+    trace(fmt::format("{} starts", daemon.identity.daemon.name));
     deliver(index, tick{});
 }
 
 void soak_world::crashDaemon(std::size_t index)
 {
     daemon_state &daemon = m_daemons[index];
+    trace(fmt::format("{} crashes", daemon.identity.daemon.name));
     daemon.up = false;
     m_endpoints.forgetDaemon(index);
     m_log.removeClient(daemon.logClient);
@@ -267,24 +288,39 @@
 
 void soak_world::breakLinks(std::size_t index)
 {
-    const auto name = m_daemons[index].identity.daemon.name;
     for (std::size_t other = 0; other < m_daemons.size(); ++other) {
-        if (other == index || !m_daemons[other].up) {
-            continue;
+        if (other != index && m_daemons[other].up) {
+            linkDown(other, index);
         }
-        at(m_clock.now() + 1ms, [this, other, name] { deliver(other, peer_link_changed{name, false}); });
-        // The owner's side of a broken link treats the forwarded calls as left by their callers.
-        std::vector<request_handle> orphans;
-        for (const auto &[handle, where] : m_daemons[other].sinks) {
-            if (!where.caller && where.fromDaemon == index) {
-                orphans.push_back(handle);
-            }
-        }
-        for (const auto handle : orphans) {
-            m_daemons[other].sinks.erase(handle);
-            at(m_clock.now() + 1ms, [this, other, handle] { deliver(other, caller_gone{handle}); });
+    }
+}
+
+// A connection that lost data never delivers what follows: both ends see it broken once the network works again.
+void soak_world::resetLink(std::size_t from, std::size_t to)
+{
+    linkDown(from, to);
+    linkDown(to, from);
+}
+
+void soak_world::linkDown(std::size_t index, std::size_t peer)
+{
+    if (index == peer || !m_daemons[index].up) {
+        return;
+    }
+    at(m_clock.now() + 1ms, [this, index, name = m_daemons[peer].identity.daemon.name] {
+        deliver(index, peer_link_changed{name, false});
+    });
+    // The owner's side of a broken link treats the forwarded calls as left by their callers.
+    std::vector<request_handle> orphans;
+    for (const auto &[handle, where] : m_daemons[index].sinks) {
+        if (!where.caller && where.fromDaemon == peer) {
+            orphans.push_back(handle);
         }
     }
+    for (const auto handle : orphans) {
+        m_daemons[index].sinks.erase(handle);
+        at(m_clock.now() + 1ms, [this, index, handle] { deliver(index, caller_gone{handle}); });
+    }
 }
 
 void soak_world::deliver(std::size_t index, event what)
@@ -335,6 +371,10 @@
 void soak_world::perform(std::size_t index, effects out)
 {
     for (auto &next : out) {
+        if (const auto *line = std::get_if<write_log>(&next)) {
+            trace(fmt::format("{}: {}", m_daemons[index].identity.daemon.name,
+                              logging::format(line->level, line->event, line->fields)));
+        }
         std::visit([&](auto &what) { perform(index, what); }, next);
     }
 }
@@ -380,6 +420,8 @@
         return;
     }
     m_outstanding[caller].reset();
+    trace(fmt::format("{} turn {} answered by {} durable {} replayed {}", toString(what.program), what.turn, index,
+                      what.durable, what.replayed));
     m_callers[caller].onAnswer(what, m_clock.now());
 }
 
@@ -398,6 +440,8 @@
         return;
     }
     m_outstanding[*where.caller].reset();
+    trace(fmt::format("{} refused by {}: {} {}", toString(m_callers[*where.caller].key()), index,
+                      describe(what.reason.code).name, what.reason.message));
     m_callers[*where.caller].onRefusal(what.reason, m_clock.now());
 }
 
@@ -420,6 +464,7 @@
 
 void soak_world::perform(std::size_t index, start_dispatch &what)
 {
+    trace(fmt::format("{} dispatched by {} to {}", what.requestId, index, what.endpoint));
     m_endpoints.start(index, what, m_clock.now());
     if (m_options.broken == sabotage::RepeatDispatch && std::holds_alternative<service_call>(what.kind)
         && chance(0.1)) {
@@ -669,8 +714,12 @@
         break;
     case 3:
         ++m_report.outages;
+        trace("log outage begins");
         m_log.setOutage(true);
-        at(now + between(500ms, 12000ms), [this] { m_log.setOutage(false); });
+        at(now + between(500ms, 12000ms), [this] {
+            trace("log outage ends");
+            m_log.setOutage(false);
+        });
         break;
     case 4:
         ++m_report.endpointCrashes;
@@ -687,7 +736,10 @@
         ++m_report.cutLinks;
         const std::pair link{index, m_random() % m_daemons.size()};
         m_cut.insert(link);
-        at(now + between(500ms, 10000ms), [this, link] { m_cut.erase(link); });
+        at(now + between(500ms, 10000ms), [this, link] {
+            m_cut.erase(link);
+            resetLink(link.first, link.second);
+        });
         break;
     }
     default:
@@ -700,7 +752,9 @@
 void soak_world::heal()
 {
     m_healed = true;
-    m_cut.clear();
+    for (const auto &[from, to] : std::exchange(m_cut, {})) {
+        resetLink(from, to);
+    }
     m_endpoints.setFaults({});
     m_log.setOutage(false);
     m_log.setOptions(logOptions(false));
@@ -748,6 +802,14 @@
     }
 }
 
+void soak_world::trace(const std::string &text) const
+{
+    if (m_options.trace) {
+        fmt::print(stderr, "{:8} {}\n", millisecondsBetween(time_point(std::chrono::hours(1)), m_clock.now()).count(),
+                   text);
+    }
+}
+
 void soak_world::fault(std::string text)
 {
     m_report.faults.push_back(fmt::format("seed {} at {} ms: {}", m_seed,
--- a/bench/soak/soak_world.h
+++ b/bench/soak/soak_world.h
@@ -133,6 +133,9 @@
     void checkEnd();
     void checkDaemon(std::size_t index);
     void fault(std::string text);
+    void trace(const std::string &text) const;
+    void resetLink(std::size_t from, std::size_t to);
+    void linkDown(std::size_t index, std::size_t peer);
     [[nodiscard]] std::optional<time_point> nextTime() const;
     void step();
 
--- a/src/core/calls.cc
+++ b/src/core/calls.cc
@@ -14,6 +14,8 @@
 constexpr std::chrono::milliseconds drainingRetry{100};
 constexpr std::chrono::milliseconds ownerChangingRetry{500};
 constexpr std::chrono::milliseconds logRetry{1000};
+// The own journal is read at least once a second while the log answers.
+constexpr std::chrono::milliseconds journalFreshness{2500};
 constexpr std::chrono::milliseconds noEndpointRetry{500};
 
 refusal makeRefusal(result_code code, std::string message, std::chrono::milliseconds retryAfter = {})
@@ -61,7 +63,7 @@
     }
     const auto verdict = programs.check(call.call, limitsFor(call), now);
     if (const auto *refused = std::get_if<refusal>(&verdict)) {
-        refuseRequest(received.request, *refused, call.call.rank, call.pool);
+        refuseByLedger(call, *refused);
         return;
     }
     if (const auto *replayed = std::get_if<replayed_call>(&verdict)) {
@@ -83,6 +85,23 @@
     start(std::move(call), accepted);
 }
 
+// A daemon that was frozen or cut off may have lost the shard without knowing it. Until it has read its journal again,
+// its word on the state of a program is not final.
+void core::implementation::refuseByLedger(const running_call &call, const refusal &reason)
+{
+    const bool aboutState = reason.code >= result_code::TurnOutOfOrder && reason.code <= result_code::ReceiptInvalid
+        && reason.code != result_code::CallInProgress;
+    if (aboutState && now - journalReadAt > journalFreshness) {
+        journal.requestRead();
+        refuseRequest(
+            call.request,
+            makeRefusal(result_code::OwnerUnreachable, "the owner reads its journal again", ownerChangingRetry),
+            call.call.rank, call.pool);
+        return;
+    }
+    refuseRequest(call.request, reason, call.call.rank, call.pool);
+}
+
 // A turn that is not in the log yet is given again with a receipt: its owner may die before the record is durable.
 void core::implementation::replay(const running_call &call, const replayed_call &stored)
 {
--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -15,6 +15,9 @@
 constexpr auto maintenanceInterval = std::chrono::milliseconds(250);
 // A sub-state that asks for a wake-up in the past must not keep the loop from sleeping.
 constexpr auto shortestSleep = std::chrono::milliseconds(1);
+// Longer than a takeover; the number bounds memory.
+constexpr auto unclaimedMemory = std::chrono::seconds(120);
+constexpr std::size_t maxUnclaimedCaches = 8192;
 
 std::string journalName(const daemon_identity &self)
 {
@@ -122,16 +125,39 @@
     // A program that ran from memory during a log outage is unknown to the successor of its owner.
     for (const auto &stored : received.events) {
         const auto key = programKeyFrom(stored.program);
-        if (!stored.stored || !key || !owners.serves(shardOf(*key))) {
+        if (!stored.stored || !key) {
             continue;
         }
-        const auto *state = programs.find(*key);
-        if (state == nullptr || state->closed) {
-            caches.programGone(*key, {received.endpoint}, now);
+        if (owners.serves(shardOf(*key))) {
+            releaseIfGone(*key, received.endpoint);
+            continue;
+        }
+        unclaimedCaches.push_back({now, *key, received.endpoint});
+        if (unclaimedCaches.size() > maxUnclaimedCaches || now - unclaimedCaches.front().at > unclaimedMemory) {
+            unclaimedCaches.pop_front();
         }
     }
 }
 
+void core::implementation::releaseIfGone(const program_key &key, const std::string &endpoint)
+{
+    const auto *state = programs.find(key);
+    if (state == nullptr || state->closed) {
+        caches.programGone(key, {endpoint}, now);
+    }
+}
+
+void core::implementation::releaseUnclaimed(shard_index shard)
+{
+    std::erase_if(unclaimedCaches, [&](const stored_cache &cached) {
+        const bool mine = shardOf(cached.program) == shard;
+        if (mine) {
+            releaseIfGone(cached.program, cached.endpoint);
+        }
+        return mine;
+    });
+}
+
 void core::implementation::on(release_finished &received)
 {
     if (!caches.onReleased({.program = received.program, .endpoint = received.endpoint}, received.acknowledged, now)) {
--- a/src/core/internal/state.h
+++ b/src/core/internal/state.h
@@ -109,6 +109,7 @@
     [[nodiscard]] std::optional<refusal> checkLog(const accepted_call &accepted) const;
     [[nodiscard]] call_limits limitsFor(const running_call &call) const;
     [[nodiscard]] waiting_call waitingCall(const running_call &call) const;
+    void refuseByLedger(const running_call &call, const refusal &reason);
     void replay(const running_call &call, const replayed_call &stored);
     void start(running_call call, const accepted_call &accepted);
     void enqueue(running_call &call);
@@ -167,6 +168,8 @@
     void answerHistory(const history_read &read);
     void closeByRequest(const program_queried &query);
     void closeProgram(const program_key &key, close_reason reason);
+    void releaseIfGone(const program_key &key, const std::string &endpoint);
+    void releaseUnclaimed(shard_index shard);
     void releaseCaches(const program_key &key, const std::vector<std::string> &holders);
     [[nodiscard]] std::vector<std::string> resolveHolders(const std::vector<std::string> &holders) const;
     void answer(request_handle request, const nlohmann::json &body, std::uint16_t httpStatus = 200);
@@ -211,6 +214,14 @@
     std::multimap<std::uint64_t, pending_answer> answersBySequence;
     std::map<std::uint64_t, pending_answer> publications; // By publication number.
     std::map<std::uint64_t, history_read> historyReads; // By read tag.
+    struct stored_cache
+    {
+        time_point at;
+        program_key program;
+        std::string endpoint;
+    };
+    // Cache events of shards that nobody served here, for the case that this daemon takes the shard over.
+    std::deque<stored_cache> unclaimedCaches;
     struct program_span
     {
         time_point first; // Arrival of the first call.
@@ -242,6 +253,7 @@
     bool outageReported = false;
     time_point drainDeadline;
     time_point nextMaintenance;
+    time_point journalReadAt;
     core_counters counters;
 };
 
--- a/src/core/log_flow.cc
+++ b/src/core/log_flow.cc
@@ -66,6 +66,7 @@
     if (result.tag != 0) {
         continueHistory(result.tag, result);
     } else if (result.stream == journal.name()) {
+        journalReadAt = result.ok ? now : journalReadAt;
         onJournal(journal.onRead(result, now));
     } else if (result.stream == ownershipStream.name()) {
         owners.onOwnershipRecords(ownershipStream.onRead(result, now), now);
@@ -120,6 +121,7 @@
                 caches.restore(state.key, named, state.history.tokens, now);
             }
         }
+        releaseUnclaimed(opened.shard);
         log(opened.programs.empty() ? log_level::Debug : log_level::Info, "shard_opened",
             {{"shard", opened.shard}, {"fence", opened.token}, {"programs", opened.programs.size()}});
     }
--- a/src/core/peers.cc
+++ b/src/core/peers.cc
@@ -95,8 +95,9 @@
         }
         emit(send_to_peer{.peer = call.peer, .address = {}, .message = forward_cancel{id}});
         forwardByRequest.erase(call.request);
-        refuseRequest(call.request,
-                      {.code = result_code::OwnershipLost, .message = "the program's owner does not answer", .retryAfter = {}});
+        refuseRequest(
+            call.request,
+            {.code = result_code::OwnershipLost, .message = "the program's owner does not answer", .retryAfter = {}});
         return true;
     });
 }
@@ -190,8 +191,11 @@
 void core::implementation::maintainShards()
 {
     auto live = members.liveDaemons(now);
-    const auto sameDaemon = [](const member_identity &a, const member_identity &b) { return a.daemon == b.daemon; };
-    const bool unchanged = shardsChosenAt == ownershipStream.readPosition() && std::ranges::equal(live, shardsChosenFor, sameDaemon);
+    const auto sameDaemon = [](const member_identity &a, const member_identity &b) {
+        return a.daemon == b.daemon;
+    };
+    const bool unchanged =
+        shardsChosenAt == ownershipStream.readPosition() && std::ranges::equal(live, shardsChosenFor, sameDaemon);
     if (unchanged && now < nextShardChoice) {
         return;
     }
--- a/src/core/queries.cc
+++ b/src/core/queries.cc
@@ -195,7 +195,8 @@
     if (const auto span = spans.find(query.program); span != spans.end()) {
         const auto &ranks = configurations.current().ranks;
         const auto rank = programs.find(query.program)->rank;
-        emit(observe_program{rank < ranks.size() ? ranks[rank].name : std::string{}, span->second.last - span->second.first});
+        emit(observe_program{rank < ranks.size() ? ranks[rank].name : std::string{},
+                             span->second.last - span->second.first});
     }
     closeProgram(query.program, close_reason::Requested);
     pending_answer pending{.request = query.request, .body = {{"closed", true}}, .deadline = now + answerBound};
