--- a/src/daemon/internal/platform_client.cc
+++ b/src/daemon/internal/platform_client.cc
@@ -144,15 +144,16 @@
     http.path = fmt::format("/streams/{}?from={}&limit={}", request.stream, request.from, request.limit);
     http.timeout = m_options.logTimeout;
     http.reuseConnection = true;
-    m_loop.request(std::move(http), [this, stream = request.stream, tag = request.tag](const net::client_result &result) {
-        read_result page;
-        page.stream = stream;
-        if (result.error == net::client_error::None && result.status == 200) {
-            page = parseLogPage(stream, result.body);
-        }
-        page.tag = tag;
-        m_post(read_finished{std::move(page)});
-    });
+    m_loop.request(std::move(http),
+                   [this, stream = request.stream, tag = request.tag](const net::client_result &result) {
+                       read_result page;
+                       page.stream = stream;
+                       if (result.error == net::client_error::None && result.status == 200) {
+                           page = parseLogPage(stream, result.body);
+                       }
+                       page.tag = tag;
+                       m_post(read_finished{std::move(page)});
+                   });
 }
 
 void platform_client::pollHosts()
