Apply idempotent_by_default of a service

Cause: the key was published and validated but had no effect; a call that did not state 'idempotent' was always non-idempotent. Change: the parser records whether the caller stated it, and the dispatcher fills in the service's default.

--- a/src/caller_api/caller_api.cc
+++ b/src/caller_api/caller_api.cc
@@ -183,6 +183,7 @@
     plain.path = slash == std::string_view::npos ? std::string() : std::string(target.substr(slash + 1));
     plain.idempotent =
         field_reader(body.at(std::string(ownKey)), "jackdawpick", limits.maxNameBytes).flag("idempotent");
+    plain.idempotentStated = body.at(std::string(ownKey)).contains("idempotent");
     const auto content = body.find("body");
     call.contentDigest =
         digestOf(fmt::format("{}\n{}\n{}", plain.service, plain.path, content == body.end() ? "" : dumpText(*content)));
--- a/src/core/calls.cc
+++ b/src/core/calls.cc
@@ -134,14 +134,14 @@
     call.arrived = now;
     const auto &limits = configurations.current().limits;
     call.deadline = now + received.call.deadline.value_or(limits.callDeadline);
+    if (auto refused = resolveTarget(call)) {
+        return refused;
+    }
     if (call.call.program.program.empty()) {
         if (auto refused = mintId(call)) {
             return refused;
         }
     }
-    if (auto refused = resolveTarget(call)) {
-        return refused;
-    }
     if (table.isQuarantined(call.call.contentDigest, now)) {
         return makeRefusal(result_code::RequestQuarantined, "endpoints died while running this request");
     }
@@ -177,13 +177,14 @@
     }
     call.endpointTimeout = std::chrono::milliseconds::max();
     std::string defaultRank = current.ranks.empty() ? std::string{} : current.ranks.back().name;
-    if (const auto *service = std::get_if<service_call>(&call.call.kind)) {
+    if (auto *service = std::get_if<service_call>(&call.call.kind)) {
         const auto definition = std::ranges::find(current.services, service->service, &service_definition::name);
         if (definition == current.services.end()) {
             return makeRefusal(result_code::UnknownService, "the service is not in the configuration");
         }
         call.pool = definition->pool;
         call.endpointTimeout = definition->timeout;
+        service->idempotent = service->idempotentStated ? service->idempotent : definition->idempotentByDefault;
         defaultRank = definition->ranks.empty() ? defaultRank : definition->ranks.front();
         if (!call.call.rank.empty() && !definition->ranks.empty()
             && std::ranges::find(definition->ranks, call.call.rank) == definition->ranks.end()) {
--- a/src/model/model.h
+++ b/src/model/model.h
@@ -123,6 +123,7 @@
     std::string service;
     std::string path;
     bool idempotent = false;
+    bool idempotentStated = true; // Otherwise the default of the service in the configuration holds.
 };
 
 using call_kind = std::variant<model_call, service_call>;
