Split the largest files by responsibility; bring the design page up to date

Change: call_failures.cc, ledger_lifetime.cc, soak_failures.cc, soak_scenario.cc, core/internal/refusals.h. No behaviour changes.

--- a/src/core/queries.cc
+++ b/src/core/queries.cc
@@ -1,3 +1,4 @@
+#include "core/internal/refusals.h"
 #include "core/internal/state.h"
 
 #include <algorithm>
@@ -11,7 +12,6 @@
 
 constexpr std::chrono::milliseconds answerBound{10000}; // For queries and publications that wait for the log.
 constexpr std::chrono::milliseconds unconfirmedRetry{200};
-constexpr std::chrono::milliseconds ownerChangingRetry{500};
 
 const call_settled *findTurn(const record_batch &batch, const program_key &key, std::uint32_t turn)
 {
