--- a/src/daemon/daemon_test.cc
+++ b/src/daemon/daemon_test.cc
@@ -304,6 +304,30 @@
     EXPECT_FALSE(parseHostList("{}", skipped).has_value());
 }
 
+// Guards against answers to history reads that the reducer cannot tell from reads of its own streams.
+TEST(Platform, ReadAnswersCarryTheirTag)
+{
+    net::loop loop;
+    const auto port = loop.listenHttp({}, [&loop](const net::http_request &request) {
+        loop.respond(request.id, {}, R"({"records": [], "first": 1, "end": 5})");
+    });
+    std::vector<read_result> answers;
+    platform_client client(loop, {.logAddress = fmt::format("127.0.0.1:{}", port), .hostListAddress = {}},
+                           [&](event what) {
+                               answers.push_back(std::get<read_finished>(what).result);
+                               if (answers.size() == 2) {
+                                   loop.stop();
+                               }
+                           });
+    client.send(read_request{.stream = "journal.a", .from = 3, .limit = 1, .tag = 7});
+    client.send(read_request{.stream = "journal.a", .from = 5, .limit = 1});
+    loop.run();
+    std::ranges::sort(answers, {}, &read_result::tag);
+    EXPECT_EQ(answers.at(0).tag, 0U);
+    EXPECT_EQ(answers.at(1).tag, 7U);
+    EXPECT_TRUE(answers.at(1).ok);
+}
+
 namespace
 {
 
