--- a/src/core/call_failures.cc
+++ b/src/core/call_failures.cc
@@ -177,8 +177,8 @@
 void core::implementation::abandonShard(shard_index shard)
 {
     std::vector<std::uint64_t> lost;
-    for (const auto &[key, handle] : callByProgram) {
-        if (shardOf(key) == shard) {
+    for (const auto &[handle, call] : calls) {
+        if (shardOf(call.call.program) == shard) {
             lost.push_back(handle);
         }
     }
--- a/src/core/calls.cc
+++ b/src/core/calls.cc
@@ -497,7 +497,11 @@
     const std::uint64_t handle = call.handle;
     callByRequest.erase(call.request);
     callByDispatch.erase(call.dispatch);
-    callByProgram.erase(call.call.program);
+    // The next turn may have begun while this one waits for its commit: its answer was repeated with a receipt.
+    if (const auto newest = callByProgram.find(call.call.program);
+        newest != callByProgram.end() && newest->second == handle) {
+        callByProgram.erase(newest);
+    }
     deadlines.erase({call.deadline, handle});
     const auto [first, last] = callBySequence.equal_range(call.awaitedSequence);
     const auto waiting = std::find_if(first, last, [handle](const auto &entry) { return entry.second == handle; });
--- a/src/core/internal/state.h
+++ b/src/core/internal/state.h
@@ -254,7 +254,8 @@
     bool outageReported = false;
     time_point drainDeadline;
     time_point nextMaintenance;
-    time_point journalReadAt;
+    time_point journalReadSent; // When the last read of the own journal was sent.
+    time_point journalReadAt; // When the last answered one was sent.
     core_counters counters;
 };
 
--- a/src/core/log_flow.cc
+++ b/src/core/log_flow.cc
@@ -30,6 +30,10 @@
     journalRecords(owners.takeJournalRecords());
     const auto send = [this](std::vector<log_request> requests) {
         for (auto &request : requests) {
+            const auto *read = std::get_if<read_request>(&request);
+            if (read != nullptr && read->stream == journal.name()) {
+                journalReadSent = now;
+            }
             emit(send_log_request{std::move(request)});
         }
     };
@@ -66,7 +70,8 @@
     if (result.tag != 0) {
         continueHistory(result.tag, result);
     } else if (result.stream == journal.name()) {
-        journalReadAt = result.ok ? now : journalReadAt;
+        // The answer may have waited while this daemon was frozen; it tells nothing later than its request.
+        journalReadAt = result.ok ? journalReadSent : journalReadAt;
         onJournal(journal.onRead(result, now));
     } else if (result.stream == ownershipStream.name()) {
         owners.onOwnershipRecords(ownershipStream.onRead(result, now), now);
--- a/src/endpoints/endpoints.cc
+++ b/src/endpoints/endpoints.cc
@@ -191,6 +191,7 @@
     each.lastSign = now;
     recordSuccess(each);
     m_suspects.erase(content); // It ran to its end elsewhere, so it is not what kills endpoints.
+    clearDeaths(id, ended->since);
     average(each.view.secondsPerCall, seconds(total));
     const double decoding = seconds(total - firstToken);
     if (used.completionTokens > 1 && decoding > 0) {
@@ -203,6 +204,17 @@
     adaptLimit(each, used, firstToken, now);
 }
 
+// A call that ran from `since` until now proves that the endpoint lived all the time: connections that broke in between
+// were not lost by its death.
+void endpoint_table::clearDeaths(endpoint_id id, time_point since)
+{
+    for (auto next = m_suspects.begin(); next != m_suspects.end();) {
+        auto &deaths = next->second.deaths;
+        std::erase_if(deaths, [&](const death &each) { return each.endpoint == id && each.at >= since; });
+        next = deaths.empty() ? m_suspects.erase(next) : std::next(next);
+    }
+}
+
 void endpoint_table::recordSuccess(entry &which) const
 {
     which.failures = 0;
@@ -312,15 +324,15 @@
         || std::ranges::any_of(each.running, other, &running_call::content);
     suspect &record = m_suspects[content];
     if (!wasSuspect) {
-        record.died.clear();
+        record.deaths.clear();
     } else {
         each.lost.push_back({.content = content, .at = now});
     }
     record.until = now + m_options.suspectMemory;
-    if (std::ranges::find(record.died, id) == record.died.end()) {
-        record.died.push_back(id);
+    if (std::ranges::find(record.deaths, id, &death::endpoint) == record.deaths.end()) {
+        record.deaths.push_back({.endpoint = id, .at = now});
     }
-    if (record.died.size() < m_options.crashesToQuarantine || (wasSuspect && shared)) {
+    if (record.deaths.size() < m_options.crashesToQuarantine || (wasSuspect && shared)) {
         return false;
     }
     m_suspects.erase(content);
--- a/src/endpoints/endpoints.h
+++ b/src/endpoints/endpoints.h
@@ -149,12 +149,18 @@
         std::vector<endpoint_id> members;
         std::array<std::uint32_t, maxRanks> inFlight{};
     };
+    struct death
+    {
+        endpoint_id endpoint{};
+        time_point at;
+    };
     struct suspect
     {
-        std::vector<endpoint_id> died;
+        std::vector<death> deaths; // One an endpoint.
         time_point until;
     };
 
+    void clearDeaths(endpoint_id id, time_point since);
     [[nodiscard]] entry &at(endpoint_id id);
     [[nodiscard]] const entry &at(endpoint_id id) const;
     entry &addEndpoint(const host_entry &host);
--- a/src/endpoints/endpoints_test.cc
+++ b/src/endpoints/endpoints_test.cc
@@ -190,6 +190,21 @@
     EXPECT_TRUE(fail(2, 7).empty());
 }
 
+// Guards against quarantining a request whose connections broke while the endpoints lived on.
+TEST_F(endpoints_test, CallThatOutlivesABrokenConnectionClearsTheSuspicion)
+{
+    dispatch(0, 7);
+    dispatch(0, 8);
+    clock.advance(std::chrono::milliseconds(10));
+    EXPECT_TRUE(fail(0, 7).empty());
+    EXPECT_TRUE(table.isSuspect(7, clock.now()));
+    clock.advance(std::chrono::milliseconds(10));
+    finish(0, 8);
+    EXPECT_FALSE(table.isSuspect(7, clock.now()));
+    dispatch(1, 7);
+    EXPECT_TRUE(fail(1, 7).empty());
+}
+
 // Guards against counts that drift when an end is reported twice or for an unknown call, and against dispatching to a
 // leaving endpoint in any order of events.
 RC_GTEST_PROP(EndpointsProperty, CountsMatchTheCallsInFlight, ())
