Pass answer bodies of the stand-ins by reference

Cause: clang-tidy found three places in the whole-tree lint: a copied body, a move without effect, a widened product. Change: no behaviour. Measured: clang-tidy is clean on the three files; the sanitizer build passes.

--- a/bench/slopes/reducer_driver.cc
+++ b/bench/slopes/reducer_driver.cc
@@ -197,7 +197,7 @@
             }
             deliver(dispatch_finished{.dispatch = dispatch.dispatch,
                                       .requestId = dispatch.requestId,
-                                      .used = {.promptTokens = 100, .completionTokens = 4 * pieces},
+                                      .used = {.promptTokens = 100, .completionTokens = token_count{4} * pieces},
                                       .body = {}});
         } else {
             step();
--- a/standins/platform/standin_server.cc
+++ b/standins/platform/standin_server.cc
@@ -116,11 +116,11 @@
     return m_open.contains(id) && !m_silent.contains(id);
 }
 
-void standin_server::respond(net::request_id id, const net::http_head &head, std::string body)
+void standin_server::respond(net::request_id id, const net::http_head &head, const std::string &body)
 {
     if (maySend(id)) {
         m_open.erase(id);
-        m_loop.respond(id, head, std::move(body));
+        m_loop.respond(id, head, body);
     }
 }
 
--- a/standins/platform/standin_server.h
+++ b/standins/platform/standin_server.h
@@ -48,7 +48,7 @@
     void changeFault(const net::http_request &request);
     [[nodiscard]] net::http_head head(std::uint16_t status) const;
     [[nodiscard]] bool maySend(net::request_id id) const;
-    void respond(net::request_id id, const net::http_head &head, std::string body);
+    void respond(net::request_id id, const net::http_head &head, const std::string &body);
 
     net::loop &m_loop;
     fault_table &m_faults;
