Send final answers of the histories through one function

Cause: finish_call and refuse_call repeated how an answer finds its caller or the forwarding daemon; a field of the sinks and a second copy of each call under its receipt were never read. Change: takeCaller() serves both. No behaviour changes.

--- a/bench/soak/soak_world.cc
+++ b/bench/soak/soak_world.cc
@@ -358,26 +358,32 @@
     }
 }
 
-void soak_world::endForward(std::size_t index, const sink &where, std::string body)
+// Where the final answer to a request goes to a caller, that caller. An answer to a forwarded call is sent back to the
+// daemon that forwarded it.
+std::optional<std::size_t> soak_world::takeCaller(std::size_t index, request_handle request, const effect &answer)
 {
-    sendToPeer(index, where.fromDaemon, forward_end{.id = where.forwardId, .body = std::move(body)});
-}
-
-void soak_world::perform(std::size_t index, finish_call &what)
-{
-    const auto found = m_daemons[index].sinks.find(what.request);
-    if (found == m_daemons[index].sinks.end()) {
-        return;
+    auto &sinks = m_daemons[index].sinks;
+    const auto found = sinks.find(request);
+    if (found == sinks.end()) {
+        return std::nullopt;
     }
     const sink where = found->second;
-    m_daemons[index].sinks.erase(found);
+    sinks.erase(found);
     if (!where.caller) {
         const auto body = fmt::format("answer {}", ++m_lastBody);
-        m_answersByBody.emplace(body, what);
-        endForward(index, where, body);
+        m_answersByBody.emplace(body, answer);
+        sendToPeer(index, where.fromDaemon, forward_end{.id = where.forwardId, .body = body});
+    }
+    return where.caller;
+}
+
+void soak_world::perform(std::size_t index, finish_call &what)
+{
+    const auto to = takeCaller(index, what.request, what);
+    if (!to) {
         return;
     }
-    std::size_t caller = *where.caller;
+    std::size_t caller = *to;
     if (m_options.broken == sabotage::CrossAnswers && chance(0.05)) {
         caller = (caller + 1) % m_callers.size();
     }
@@ -392,22 +398,14 @@
 
 void soak_world::perform(std::size_t index, refuse_call &what)
 {
-    const auto found = m_daemons[index].sinks.find(what.request);
-    if (found == m_daemons[index].sinks.end()) {
-        return;
-    }
-    const sink where = found->second;
-    m_daemons[index].sinks.erase(found);
-    if (!where.caller) {
-        const auto body = fmt::format("refusal {}", ++m_lastBody);
-        m_answersByBody.emplace(body, what);
-        endForward(index, where, body);
+    const auto to = takeCaller(index, what.request, what);
+    if (!to) {
         return;
     }
-    m_outstanding[*where.caller].reset();
-    trace(fmt::format("{} refused by {}: {} {}", toString(m_callers[*where.caller].key()), index,
-                      describe(what.reason.code).name, what.reason.message));
-    m_callers[*where.caller].onRefusal(what.reason, m_clock.now());
+    m_outstanding[*to].reset();
+    trace(fmt::format("{} refused by {}: {} {}", toString(m_callers[*to].key()), index, describe(what.reason.code).name,
+                      what.reason.message));
+    m_callers[*to].onRefusal(what.reason, m_clock.now());
 }
 
 void soak_world::perform(std::size_t index, answer_query &what)
@@ -511,7 +509,7 @@
     const auto name = m_daemons[from].identity.daemon.name;
     if (const auto *call = std::get_if<forward_call>(&message)) {
         const request_handle handle{++m_lastRequest};
-        m_daemons[to].sinks[handle] = {.caller = {}, .entry = 0, .fromDaemon = from, .forwardId = call->id};
+        m_daemons[to].sinks[handle] = {.caller = {}, .fromDaemon = from, .forwardId = call->id};
         deliver(to, call_arrived{.request = handle, .call = m_callsByBody.at(call->body), .peer = name});
         return;
     }
@@ -579,13 +577,8 @@
     }
     const request_handle handle{++m_lastRequest};
     m_outstanding[caller] = {*entry, handle};
-    m_daemons[*entry].sinks[handle] = {.caller = caller, .entry = *entry};
-    // The receipt is part of the body, so each attempt that carries another one is stored under its own text.
-    auto stored = call;
-    const auto body = *call.body + (call.receipt ? "|" + *call.receipt : "");
-    stored.body = call.body;
-    m_callsByBody[body] = stored;
-    m_callsByBody[*call.body] = std::move(stored);
+    m_daemons[*entry].sinks[handle] = {.caller = caller};
+    m_callsByBody[*call.body] = call;
     deliver(*entry, call_arrived{.request = handle, .call = std::move(call), .peer = {}});
     wake();
     // A caller that gets no sign of life for long connects again.
--- a/bench/soak/soak_world.h
+++ b/bench/soak/soak_world.h
@@ -67,7 +67,6 @@
     struct sink // Where the answer to a request goes.
     {
         std::optional<std::size_t> caller;
-        std::size_t entry = 0; // Daemon that the caller is connected to.
         std::size_t fromDaemon = 0; // Forwarded: the daemon that forwarded it.
         std::uint64_t forwardId = 0;
     };
@@ -120,7 +119,7 @@
 
     void sendToPeer(std::size_t from, std::size_t to, peer_message message);
     void receiveFromPeer(std::size_t from, std::size_t to, const peer_message &message);
-    void endForward(std::size_t index, const sink &where, std::string body);
+    std::optional<std::size_t> takeCaller(std::size_t index, request_handle request, const effect &answer);
     void breakLinks(std::size_t index);
     void callerStep(std::size_t caller);
     void sendCall(std::size_t caller, call_request call);
