Own recv and send in the transport; heads, skipped answers and aborts in the HTTP library

Cause: a reverse proxy must know exactly whether a byte was sent, whether an answer without a length ended or was reset, and which answer on a kept connection is its own. The raw role of libwebsockets tells none of these. Change: connections use the raw file role and call recv() and send() themselves; the client takes a head handler that can skip an answer, a connect timeout and the idle time that a server announces; the server can abort an answer, send one with a known length and close its connections at shutdown; SIGHUP has a handler.

--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -33,7 +33,7 @@
     net::loop loop;
     shell daemon(loop, clock, settings);
     bool terminating = false;
-    loop.onTerminate([&] {
+    loop.onSignals([&] {
         // A second signal ends the process without waiting for the calls in flight.
         if (std::exchange(terminating, true)) {
             loop.stop();
--- a/src/net/internal/http_client.cc
+++ b/src/net/internal/http_client.cc
@@ -1,5 +1,7 @@
 #include "net/internal/http_client.h"
 
+#include <algorithm>
+#include <charconv>
 #include <fmt/format.h>
 #include <limits>
 
@@ -9,17 +11,21 @@
 namespace
 {
 
-constexpr std::uint32_t maxHeaderBytes = 16384;
+constexpr std::uint32_t maxHeaderBytes = 32768;
 // Collected bodies are bounded by message_parser. The parser of Boost 1.74 refuses every Content-Length if it is given
 // no limit at all.
 constexpr std::uint64_t noLimit = std::numeric_limits<std::uint64_t>::max();
 constexpr std::size_t maxIdlePerAddress = 32;
-// Below the time after which servers usually close idle connections, so that they rarely do it first.
-constexpr std::chrono::seconds idleTime{4};
+// Part of the idle time announced by a server after which the connection is no longer used, since a request that
+// crosses the server's close may have run.
+constexpr double usedPartOfIdleTime = 0.6;
 
 std::string requestText(const client_request &request)
 {
-    std::string text = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", request.method, request.path, request.address);
+    std::string text = fmt::format("{} {} HTTP/1.1\r\n", request.method, request.path);
+    if (std::ranges::find(request.headers, "host", &header_list::value_type::first) == request.headers.end()) {
+        text += fmt::format("Host: {}\r\n", request.address);
+    }
     for (const auto &[name, value] : request.headers) {
         text += fmt::format("{}: {}\r\n", name, value);
     }
@@ -32,25 +38,46 @@
     return text + "\r\n";
 }
 
+// The idle time in a Keep-Alive header such as "timeout=5, max=100".
+std::optional<std::chrono::seconds> announcedIdleTime(std::string_view keepAlive)
+{
+    constexpr std::string_view name = "timeout=";
+    const auto start = keepAlive.find(name);
+    unsigned seconds = 0;
+    if (start == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const auto digits = keepAlive.substr(start + name.size());
+    const auto [end, failure] = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    return failure == std::errc() ? std::optional(std::chrono::seconds(seconds)) : std::nullopt;
+}
+
 } // namespace
 
 http_exchange::http_exchange(http_client &client, transport &owner, client_id id, client_request request,
-                             result_handler onResult, chunk_handler onChunk)
+                             exchange_handlers handlers)
     : m_client(client)
     , m_id(id)
     , m_request(std::move(request))
-    , m_onResult(std::move(onResult))
-    , m_onChunk(std::move(onChunk))
+    , m_handlers(std::move(handlers))
     , m_timeout(owner, [this] { onTimeout(); })
     , m_silence(owner, [this] { onSilence(); })
+    , m_connecting(owner, [this] { finish(client_error::ConnectFailed); })
 {
-    m_parser.header_limit(maxHeaderBytes);
-    m_parser.body_limit(noLimit);
-    m_parser.eager(true);
-    m_parser.skip(m_request.method == "HEAD");
+    resetParser();
     m_timeout.start(m_request.timeout);
 }
 
+void http_exchange::resetParser()
+{
+    m_parser = std::make_unique<message_parser<false>>();
+    m_parser->header_limit(maxHeaderBytes);
+    m_parser->body_limit(noLimit);
+    m_parser->eager(true);
+    m_parser->skip(m_request.method == "HEAD");
+    m_skipping = false;
+}
+
 void http_exchange::start(connection_ptr link)
 {
     m_link = std::move(link);
@@ -59,18 +86,22 @@
     restartSilence();
     if (m_link->isOpen()) {
         sendRequest();
+    } else if (m_request.connectTimeout.count() > 0) {
+        m_connecting.start(m_request.connectTimeout);
     }
 }
 
 void http_exchange::onOpen()
 {
+    m_connecting.stop();
     sendRequest();
 }
 
 void http_exchange::sendRequest()
 {
-    m_link->send(requestText(m_request));
-    m_link->send(std::move(m_request.body));
+    std::string text = requestText(m_request);
+    text += std::exchange(m_request.body, {});
+    m_link->send(std::move(text));
 }
 
 void http_exchange::onReceived(std::string_view bytes)
@@ -83,54 +114,89 @@
 
 void http_exchange::parse()
 {
-    while (m_link != nullptr && !m_input.empty() && !m_parser.is_done()) {
-        const bool hadHeader = m_parser.is_header_done();
-        boost::beast::error_code failure;
-        if (!hadHeader) {
-            m_parser.eager(false); // Stops after the header, so that the status decides where the body goes.
-        }
-        const auto used = m_parser.put(boost::asio::const_buffer(m_input.data(), m_input.size()), failure);
-        m_parser.eager(true);
-        m_input.erase(0, used);
-        if (failure && failure != beast_http::error::need_more) {
-            finish(client_error::ConnectionLost);
-            return;
-        }
-        if (!hadHeader && m_parser.is_header_done() && m_onChunk && m_parser.status / 100 == 2) {
-            m_parser.sink = [this](std::string_view part) {
-                passBody(part);
-            };
-        }
-        if (used == 0) {
-            break;
+    while (m_link != nullptr && !m_input.empty() && !m_parser->is_done() && parseStep()) {
+        if (m_link != nullptr && m_skipping && m_parser->is_done()) {
+            resetParser();
         }
     }
-    if (m_link != nullptr && m_parser.is_done()) {
+    if (m_link != nullptr && !m_skipping && m_parser->is_done()) {
         complete();
     }
 }
 
+// Returns false when more input is needed or the exchange has failed.
+bool http_exchange::parseStep()
+{
+    const bool hadHeader = m_parser->is_header_done();
+    boost::beast::error_code failure;
+    if (!hadHeader) {
+        m_parser->eager(false); // Stops after the header, so that the status decides where the body goes.
+    }
+    const auto used = m_parser->put(boost::asio::const_buffer(m_input.data(), m_input.size()), failure);
+    m_parser->eager(true);
+    m_input.erase(0, used);
+    if (failure && failure != beast_http::error::need_more) {
+        finish(client_error::ConnectionLost);
+        return false;
+    }
+    if (!hadHeader && m_parser->is_header_done()) {
+        takeHead();
+    }
+    return used > 0;
+}
+
+void http_exchange::takeHead()
+{
+    bool toHandler = m_handlers.onChunk && m_parser->status / 100 == 2;
+    if (m_handlers.onHead) {
+        answer_head head{.status = static_cast<std::uint16_t>(m_parser->status), .headers = m_parser->headers};
+        if (const auto length = m_parser->content_length(); length) {
+            head.contentLength = *length;
+        }
+        m_skipping = m_handlers.onHead(head) == head_verdict::Skip;
+        toHandler = !m_skipping && m_handlers.onChunk != nullptr;
+    }
+    if (m_skipping) {
+        m_parser->sink = [](std::string_view) {
+        };
+    } else if (toHandler) {
+        m_parser->sink = [this](std::string_view part) {
+            passBody(part);
+        };
+    }
+}
+
 void http_exchange::passBody(std::string_view bytes)
 {
     if (m_link != nullptr) { // The handler may have cancelled after an earlier part.
-        m_onChunk(bytes);
+        m_handlers.onChunk(bytes);
     }
 }
 
 void http_exchange::complete()
 {
-    const bool reusable = m_request.reuseConnection && m_parser.keep_alive() && m_input.empty() && m_link->isOpen()
+    const bool reusable = m_request.reuseConnection && m_parser->keep_alive() && m_input.empty() && m_link->isOpen()
         && m_link->pending() == 0;
     if (reusable) {
         auto link = m_link;
         link->setEvents(nullptr);
-        m_client.keep(m_request.address, std::move(link));
+        m_client.keep(m_request.address, std::move(link), idleTime());
     } else {
         m_link->close();
     }
     finish(client_error::None);
 }
 
+std::chrono::milliseconds http_exchange::idleTime() const
+{
+    const auto announced = announcedIdleTime(headerValue(m_parser->headers, "keep-alive"));
+    if (!announced.has_value()) {
+        return m_request.idleTime;
+    }
+    const auto usable = std::chrono::duration<double>(*announced) * usedPartOfIdleTime;
+    return std::min(m_request.idleTime, std::chrono::duration_cast<std::chrono::milliseconds>(usable));
+}
+
 void http_exchange::onWritten()
 {
     restartSilence();
@@ -139,10 +205,10 @@
 void http_exchange::onClosed()
 {
     const auto alive = shared_from_this();
-    if (m_parser.is_header_done() && !m_parser.is_done()) {
+    if (m_parser->is_header_done() && !m_parser->is_done() && !m_skipping && m_link->endedByPeer()) {
         boost::beast::error_code failure;
-        m_parser.put_eof(failure); // Completes a body that is delimited by the end of the connection.
-        if (!failure && m_parser.is_done()) {
+        m_parser->put_eof(failure); // Completes a body that is delimited by the end of the connection.
+        if (!failure && m_parser->is_done()) {
             complete();
             return;
         }
@@ -170,7 +236,8 @@
 {
     m_timeout.stop();
     m_silence.stop();
-    m_onResult = {};
+    m_connecting.stop();
+    m_handlers.onResult = {};
     if (auto link = std::exchange(m_link, nullptr)) {
         link->close();
     }
@@ -178,30 +245,31 @@
 
 void http_exchange::finish(client_error reason)
 {
-    if (!m_onResult) {
+    if (!m_handlers.onResult) {
         return;
     }
     const auto alive = shared_from_this();
     client_result result;
     result.error = reason;
     result.bytesSent = bytesSent();
-    result.status = static_cast<std::uint16_t>(m_parser.status);
-    result.headers = std::move(m_parser.headers);
-    result.body = std::move(m_parser.body);
-    const auto handler = std::exchange(m_onResult, {});
+    result.status = static_cast<std::uint16_t>(m_parser->status);
+    result.headers = std::move(m_parser->headers);
+    result.body = std::move(m_parser->body);
+    const auto handler = std::exchange(m_handlers.onResult, {});
     const auto link = std::exchange(m_link, nullptr);
     if (reason != client_error::None && link != nullptr) {
         link->close();
     }
     m_timeout.stop();
     m_silence.stop();
+    m_connecting.stop();
     m_client.m_exchanges.erase(static_cast<std::uint64_t>(m_id));
     handler(std::move(result));
 }
 
 void http_exchange::restartSilence()
 {
-    if (m_request.silence.count() > 0 && m_onResult) {
+    if (m_request.silence.count() > 0 && m_handlers.onResult) {
         m_silence.start(m_request.silence);
     }
 }
@@ -211,7 +279,8 @@
     return m_link != nullptr && m_link->handedBytes() > m_handedBefore;
 }
 
-idle_connection::idle_connection(http_client &client, transport &owner, std::string address, connection_ptr link)
+idle_connection::idle_connection(http_client &client, transport &owner, std::string address, connection_ptr link,
+                                 std::chrono::milliseconds idleTime)
     : m_client(client)
     , m_address(std::move(address))
     , m_link(std::move(link))
@@ -249,14 +318,13 @@
 {
 }
 
-client_id http_client::request(client_request request, result_handler onResult, chunk_handler onChunk)
+client_id http_client::request(client_request request, exchange_handlers handlers)
 {
     const client_id id{++m_lastId};
     ++m_counters.clientRequests;
     const std::string address = request.address;
     const bool reuse = request.reuseConnection;
-    auto exchange = std::make_shared<http_exchange>(*this, m_transport, id, std::move(request), std::move(onResult),
-                                                    std::move(onChunk));
+    auto exchange = std::make_shared<http_exchange>(*this, m_transport, id, std::move(request), std::move(handlers));
     m_exchanges.emplace(static_cast<std::uint64_t>(id), exchange);
     begin(exchange, address, reuse);
     return id;
@@ -300,14 +368,14 @@
     return link;
 }
 
-void http_client::keep(const std::string &address, connection_ptr link)
+void http_client::keep(const std::string &address, connection_ptr link, std::chrono::milliseconds idleTime)
 {
     auto &idle = m_idle[address];
     if (idle.size() >= maxIdlePerAddress) {
         link->close();
         return;
     }
-    idle.push_back(std::make_unique<idle_connection>(*this, m_transport, address, std::move(link)));
+    idle.push_back(std::make_unique<idle_connection>(*this, m_transport, address, std::move(link), idleTime));
 }
 
 void http_client::forget(const std::string &address, const idle_connection *which)
--- a/src/net/internal/http_client.h
+++ b/src/net/internal/http_client.h
@@ -15,11 +15,18 @@
 
 class http_client;
 
+struct exchange_handlers
+{
+    result_handler onResult;
+    chunk_handler onChunk;
+    head_handler onHead;
+};
+
 class http_exchange final : public connection_events, public std::enable_shared_from_this<http_exchange>
 {
 public:
-    http_exchange(http_client &client, transport &owner, client_id id, client_request request, result_handler onResult,
-                  chunk_handler onChunk);
+    http_exchange(http_client &client, transport &owner, client_id id, client_request request,
+                  exchange_handlers handlers);
 
     void start(connection_ptr link);
     void fail(client_error reason);
@@ -33,9 +40,13 @@
     void onSilence();
     void onTimeout();
     void sendRequest();
+    void resetParser();
     void parse();
+    bool parseStep();
+    void takeHead();
     void passBody(std::string_view bytes);
     void complete();
+    [[nodiscard]] std::chrono::milliseconds idleTime() const;
     void finish(client_error reason);
     void restartSilence();
     [[nodiscard]] bool bytesSent() const;
@@ -43,21 +54,23 @@
     http_client &m_client;
     client_id m_id;
     client_request m_request;
-    result_handler m_onResult;
-    chunk_handler m_onChunk;
+    exchange_handlers m_handlers;
     connection_ptr m_link;
     std::uint64_t m_handedBefore = 0; // By earlier exchanges on the same connection.
-    message_parser<false> m_parser;
+    std::unique_ptr<message_parser<false>> m_parser;
+    bool m_skipping = false; // The answer being read belongs to another request.
     std::string m_input;
     timer m_timeout;
     timer m_silence;
+    timer m_connecting;
 };
 
 // A connection that waits for its next exchange.
 class idle_connection final : public connection_events
 {
 public:
-    idle_connection(http_client &client, transport &owner, std::string address, connection_ptr link);
+    idle_connection(http_client &client, transport &owner, std::string address, connection_ptr link,
+                    std::chrono::milliseconds idleTime);
     connection_ptr take();
 
 private:
@@ -76,7 +89,7 @@
 public:
     http_client(transport &owner, loop_counters &counters);
 
-    client_id request(client_request request, result_handler onResult, chunk_handler onChunk);
+    client_id request(client_request request, exchange_handlers handlers);
     void cancel(client_id id);
 
 private:
@@ -84,7 +97,7 @@
     friend class idle_connection;
     void begin(const std::shared_ptr<http_exchange> &exchange, const std::string &address, bool reuse);
     connection_ptr takeIdle(const std::string &address);
-    void keep(const std::string &address, connection_ptr link);
+    void keep(const std::string &address, connection_ptr link, std::chrono::milliseconds idleTime);
     void forget(const std::string &address, const idle_connection *which);
 
     transport &m_transport;
--- a/src/net/internal/http_server.cc
+++ b/src/net/internal/http_server.cc
@@ -11,7 +11,7 @@
 namespace
 {
 
-constexpr std::uint32_t maxHeaderBytes = 16384;
+constexpr std::uint32_t maxHeaderBytes = 32768;
 constexpr std::size_t maxPipelinedBytes = 65536;
 constexpr std::size_t maxRefusedConnections = 64; // Connections beyond the limit that still get an answer.
 // Time for a client to read its last answer while further input is discarded; closing at once would reset the
@@ -132,7 +132,7 @@
     m_readTimer.stop();
     releaseBody();
     const auto done = std::move(m_parser);
-    m_keepAlive = done->keep_alive();
+    m_keepAlive = done->keep_alive() && !m_server.m_closing;
     m_chunked = done->version >= 11;
     m_headOnly = done->method == "HEAD";
     m_phase = phase::Answering;
@@ -150,8 +150,10 @@
 
 std::string http_session::headText(const http_head &head) const
 {
-    std::string text =
-        fmt::format("HTTP/1.1 {} {}\r\nContent-Type: {}\r\n", head.status, reasonOf(head.status), head.contentType);
+    std::string text = fmt::format("HTTP/1.1 {} {}\r\n", head.status, reasonOf(head.status));
+    if (!head.contentType.empty()) {
+        text += fmt::format("Content-Type: {}\r\n", head.contentType);
+    }
     for (const auto &[name, value] : head.headers) {
         text += fmt::format("{}: {}\r\n", name, value);
     }
@@ -173,8 +175,13 @@
 
 void http_session::beginStream(const http_head &head)
 {
-    m_keepAlive = m_keepAlive && m_chunked;
-    m_link->send(headText(head) + (m_chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n"));
+    if (head.contentLength.has_value()) {
+        m_chunked = false;
+        m_link->send(headText(head) + fmt::format("Content-Length: {}\r\n\r\n", *head.contentLength));
+    } else {
+        m_keepAlive = m_keepAlive && m_chunked;
+        m_link->send(headText(head) + (m_chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n"));
+    }
     m_writeTimer.start(m_server.m_options.writeTimeout);
 }
 
@@ -205,6 +212,20 @@
     }
 }
 
+void http_session::abort()
+{
+    m_server.m_requests.sessions.erase(std::exchange(m_request, 0));
+    drop();
+}
+
+void http_session::retire(bool idleToo)
+{
+    m_keepAlive = false;
+    if (idleToo && m_phase == phase::Reading && !m_started) {
+        drop();
+    }
+}
+
 std::size_t http_session::buffered() const
 {
     return m_link->pending();
@@ -309,6 +330,14 @@
     return m_port;
 }
 
+void http_server::closeAfterAnswers(bool idleToo)
+{
+    m_closing = true;
+    std::vector<std::shared_ptr<http_session>> sessions;
+    std::ranges::transform(m_sessions, std::back_inserter(sessions), [](const auto &entry) { return entry.second; });
+    std::ranges::for_each(sessions, [idleToo](const auto &session) { session->retire(idleToo); });
+}
+
 void http_server::accept(connection_ptr link)
 {
     if (m_sessions.size() >= m_options.maxConnections + maxRefusedConnections) {
--- a/src/net/internal/http_server.h
+++ b/src/net/internal/http_server.h
@@ -35,6 +35,9 @@
     void beginStream(const http_head &head);
     void writeStream(std::string_view bytes);
     void endStream();
+    void abort();
+    // Closes the connection now if it waits for a request, otherwise after the answer.
+    void retire(bool idleToo);
     [[nodiscard]] std::size_t buffered() const;
 
 private:
@@ -83,6 +86,7 @@
     http_server(transport &owner, open_requests &requests, loop_counters &counters, listen_options options,
                 std::function<void(http_request)> handler, std::function<void(request_id)> disconnected);
     [[nodiscard]] std::uint16_t port() const;
+    void closeAfterAnswers(bool idleToo);
 
 private:
     friend class http_session;
@@ -97,6 +101,7 @@
     std::unordered_map<const http_session *, std::shared_ptr<http_session>> m_sessions;
     std::size_t m_bodyBytes = 0; // Of all incomplete requests.
     std::uint16_t m_port = 0;
+    bool m_closing = false;
 };
 
 } // namespace jackdawpick::net::internal
--- a/src/net/internal/transport.cc
+++ b/src/net/internal/transport.cc
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstring>
 #include <fmt/format.h>
+#include <netinet/tcp.h>
 #include <sys/signalfd.h>
 #include <sys/socket.h>
 #include <type_traits>
@@ -22,16 +23,18 @@
 namespace
 {
 
-constexpr std::size_t writeChunk = 16384;
-constexpr unsigned receiveBuffer = 32768;
+constexpr std::size_t receiveChunk = 32768;
+// Bytes taken from one connection in one turn of the loop, so that a fast sender leaves time to the others.
+constexpr std::size_t maxReceivedPerTurn = 1U << 20U;
 constexpr int backlog = 1024;
 
-sigset_t terminationSignals()
+sigset_t handledSignals()
 {
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     return signals;
 }
 
@@ -47,18 +50,22 @@
 class signal_source final : public descriptor
 {
 public:
-    signal_source(int file, std::function<void()> task)
+    signal_source(int file, std::function<void()> terminate, std::function<void()> reload)
         : m_file(file)
-        , m_task(std::move(task))
+        , m_terminate(std::move(terminate))
+        , m_reload(std::move(reload))
     {
     }
 
 private:
-    bool onReadable(std::string_view /*bytes*/) override
+    bool onReadable() override
     {
         signalfd_siginfo info{};
         if (::read(m_file, &info, sizeof(info)) == sizeof(info)) {
-            m_task();
+            const auto &task = info.ssi_signo == SIGHUP ? m_reload : m_terminate;
+            if (task) {
+                task();
+            }
         }
         return true;
     }
@@ -68,7 +75,8 @@
     }
 
     int m_file;
-    std::function<void()> m_task;
+    std::function<void()> m_terminate;
+    std::function<void()> m_reload;
 };
 
 } // namespace
@@ -161,10 +169,34 @@
     }
 }
 
-bool connection::onReadable(std::string_view bytes)
+bool connection::endedByPeer() const
+{
+    return m_ended;
+}
+
+bool connection::onReadable()
 {
-    if (m_events != nullptr && !bytes.empty()) {
-        m_events->onReceived(bytes);
+    if (!checkOpened()) {
+        return false;
+    }
+    // Filled below as far as it is read.
+    static thread_local std::array<char, receiveChunk> buffer;
+    for (std::size_t taken = 0; taken < maxReceivedPerTurn && !m_closed;) {
+        const auto count = ::recv(m_socket, buffer.data(), buffer.size(), 0);
+        if (count < 0) {
+            return errno == EAGAIN || errno == EINTR;
+        }
+        if (count == 0) {
+            m_ended = true;
+            return false;
+        }
+        taken += static_cast<std::size_t>(count);
+        if (m_events != nullptr) {
+            m_events->onReceived({buffer.data(), static_cast<std::size_t>(count)});
+        }
+        if (static_cast<std::size_t>(count) < buffer.size()) {
+            break;
+        }
     }
     return !m_closed;
 }
@@ -189,7 +221,7 @@
 
 bool connection::onWriteable(lws *wsi)
 {
-    if (!checkOpened() || m_closed || !writeSome(wsi)) {
+    if (!checkOpened() || m_closed || !writeSome()) {
         return false;
     }
     if (m_pending > 0) {
@@ -203,28 +235,22 @@
     return !m_closed;
 }
 
-bool connection::writeSome(lws *wsi)
-{
-    // Filled below as far as it is written.
-    std::array<unsigned char, LWS_PRE + writeChunk> buffer; // NOLINT(cppcoreguidelines-pro-type-member-init)
-    while (!m_queue.empty() && lws_send_pipe_choked(wsi) == 0) {
-        std::size_t filled = 0;
-        while (!m_queue.empty() && filled < writeChunk) {
-            const std::string &first = m_queue.front();
-            const std::size_t part = std::min(writeChunk - filled, first.size() - m_offset);
-            std::memcpy(buffer.data() + LWS_PRE + filled, first.data() + m_offset, part);
-            filled += part;
-            m_offset += part;
-            if (m_offset == first.size()) {
-                m_queue.pop_front();
-                m_offset = 0;
-            }
+bool connection::writeSome()
+{
+    while (!m_queue.empty()) {
+        const std::string &first = m_queue.front();
+        const auto count = ::send(m_socket, first.data() + m_offset, first.size() - m_offset, MSG_NOSIGNAL);
+        if (count < 0) {
+            return errno == EAGAIN || errno == EINTR;
         }
-        m_pending -= filled;
-        m_handed += filled; // Counted before the attempt: a failed write may have sent a part.
-        if (lws_write(wsi, buffer.data() + LWS_PRE, filled, LWS_WRITE_RAW) < 0) {
-            return false;
+        m_offset += static_cast<std::size_t>(count);
+        m_pending -= static_cast<std::size_t>(count);
+        m_handed += static_cast<std::size_t>(count);
+        if (m_offset < first.size()) {
+            return true;
         }
+        m_queue.pop_front();
+        m_offset = 0;
     }
     return true;
 }
@@ -245,7 +271,7 @@
 {
 }
 
-bool listener::onReadable(std::string_view /*bytes*/)
+bool listener::onReadable()
 {
     constexpr int batch = 64; // Leaves the loop to other work during a flood of connections.
     for (int i = 0; i < batch; ++i) {
@@ -272,7 +298,6 @@
     info.port = CONTEXT_PORT_NO_LISTEN;
     info.protocols = protocols.data();
     info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_SKIP_SERVER_CANONICAL_NAME;
-    info.pt_serv_buf_size = receiveBuffer;
     info.user = this;
     info.gid = static_cast<gid_t>(-1);
     info.uid = static_cast<uid_t>(-1);
@@ -299,7 +324,7 @@
     }
     lws_context_destroy(m_context);
     if (m_signalsBlocked) {
-        const sigset_t signals = terminationSignals();
+        const sigset_t signals = handledSignals();
         ::sigprocmask(SIG_UNBLOCK, &signals, nullptr);
     }
 }
@@ -316,13 +341,13 @@
     }
 }
 
-int transport::callback(lws *wsi, lws_callback_reasons reason, void * /*user*/, void *in, std::size_t length)
+int transport::callback(lws *wsi, lws_callback_reasons reason, void * /*user*/, void * /*in*/, std::size_t /*length*/)
 {
     auto *self = static_cast<transport *>(lws_context_user(lws_get_context(wsi)));
-    return self->handle(wsi, reason, {static_cast<const char *>(in), in == nullptr ? 0 : length});
+    return self->handle(wsi, reason);
 }
 
-int transport::handle(lws *wsi, lws_callback_reasons reason, std::string_view bytes)
+int transport::handle(lws *wsi, lws_callback_reasons reason)
 {
     auto *user = static_cast<descriptor *>(lws_get_opaque_user_data(wsi));
     if (user == nullptr) {
@@ -330,16 +355,12 @@
     }
     bool keep = true;
     switch (reason) {
-    case LWS_CALLBACK_RAW_RX:
-        guarded([&] { keep = user->onReadable(bytes); });
-        break;
     case LWS_CALLBACK_RAW_RX_FILE:
-        guarded([&] { keep = user->onReadable({}); });
+        guarded([&] { keep = user->onReadable(); });
         break;
-    case LWS_CALLBACK_RAW_WRITEABLE:
+    case LWS_CALLBACK_RAW_WRITEABLE_FILE:
         guarded([&] { keep = user->onWriteable(wsi); });
         break;
-    case LWS_CALLBACK_RAW_CLOSE:
     case LWS_CALLBACK_RAW_CLOSE_FILE: {
         lws_set_opaque_user_data(wsi, nullptr);
         const auto node = m_connections.extract(user); // Alive until the end of the callback.
@@ -353,16 +374,23 @@
     return keep ? 0 : -1;
 }
 
-connection_ptr transport::adopt(int socket, bool open)
+lws *transport::adoptDescriptor(int file, descriptor *user)
 {
-    auto link = std::make_shared<connection>(socket, open);
     lws_adopt_desc_t request{};
     request.vh = m_vhost;
-    request.type = LWS_ADOPT_SOCKET;
-    request.fd.sockfd = socket;
+    request.type = LWS_ADOPT_RAW_FILE_DESC;
+    request.fd.filefd = file;
     request.vh_prot_name = "jackdawpick";
-    request.opaque = static_cast<descriptor *>(link.get());
-    link->m_wsi = lws_adopt_descriptor_vhost_via_info(&request);
+    request.opaque = user;
+    return lws_adopt_descriptor_vhost_via_info(&request);
+}
+
+connection_ptr transport::adopt(int socket, bool open)
+{
+    const int on = 1;
+    ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    auto link = std::make_shared<connection>(socket, open);
+    link->m_wsi = adoptDescriptor(socket, link.get());
     if (link->m_wsi == nullptr) {
         return nullptr;
     }
@@ -372,13 +400,7 @@
 
 bool transport::adoptFile(int file, std::unique_ptr<descriptor> user)
 {
-    lws_adopt_desc_t request{};
-    request.vh = m_vhost;
-    request.type = LWS_ADOPT_RAW_FILE_DESC;
-    request.fd.filefd = file;
-    request.vh_prot_name = "jackdawpick";
-    request.opaque = user.get();
-    if (lws_adopt_descriptor_vhost_via_info(&request) == nullptr) {
+    if (adoptDescriptor(file, user.get()) == nullptr) {
         return false;
     }
     auto *key = user.get();
@@ -463,13 +485,13 @@
     }
 }
 
-void transport::onSignal(std::function<void()> task)
+void transport::onSignals(std::function<void()> terminate, std::function<void()> reload)
 {
-    const sigset_t signals = terminationSignals();
+    const sigset_t signals = handledSignals();
     ::sigprocmask(SIG_BLOCK, &signals, nullptr);
     m_signalsBlocked = true;
     const int file = ::signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
-    if (file < 0 || !adoptFile(file, std::make_unique<signal_source>(file, std::move(task)))) {
+    if (file < 0 || !adoptFile(file, std::make_unique<signal_source>(file, std::move(terminate), std::move(reload)))) {
         throw error(result_code::InternalError, "cannot receive signals");
     }
 }
--- a/src/net/internal/transport.h
+++ b/src/net/internal/transport.h
@@ -1,7 +1,8 @@
 #pragma once
 
-// Sockets, timers and posted tasks on one libwebsockets context. Connections use the raw role of libwebsockets, since
-// its HTTP roles close malformed or slow connections without an answer and do not tell whether bytes were sent.
+// Sockets, timers and posted tasks on one libwebsockets context. Connections use the raw file role of libwebsockets and
+// call recv() and send() themselves: its HTTP roles close malformed or slow connections without an answer, and none of
+// its roles tells whether bytes were sent or whether a connection ended or was reset.
 
 #include "clock/clock.h"
 
@@ -67,7 +68,7 @@
 public:
     virtual ~descriptor() = default;
     // Each returns false to have the descriptor closed.
-    virtual bool onReadable(std::string_view bytes) = 0;
+    virtual bool onReadable() = 0;
     virtual bool onWriteable(lws * /*wsi*/)
     {
         return true;
@@ -86,7 +87,9 @@
     // Queues bytes; ignored after close().
     void send(std::string bytes);
     [[nodiscard]] std::size_t pending() const; // Queued bytes not yet handed to the kernel.
-    [[nodiscard]] std::uint64_t handedBytes() const; // Bytes offered to the kernel since the start.
+    [[nodiscard]] std::uint64_t handedBytes() const; // Bytes taken by the kernel since the start.
+    // The peer ended its direction; false after a reset or an error.
+    [[nodiscard]] bool endedByPeer() const;
     // No further event; the socket is closed in the next turn of the loop.
     void close();
     // Ends the own direction once all queued bytes are written; the peer still sees them.
@@ -94,11 +97,11 @@
 
 private:
     friend class transport;
-    bool onReadable(std::string_view bytes) override;
+    bool onReadable() override;
     bool onWriteable(lws *wsi) override;
     void onDescriptorClosed() override;
     bool checkOpened();
-    bool writeSome(lws *wsi);
+    bool writeSome();
 
     int m_socket;
     lws *m_wsi = nullptr;
@@ -106,6 +109,7 @@
     bool m_open;
     bool m_closed = false;
     bool m_finish = false;
+    bool m_ended = false;
     std::deque<std::string> m_queue;
     std::size_t m_offset = 0; // Written bytes of the first entry.
     std::size_t m_pending = 0;
@@ -121,7 +125,7 @@
     listener(int socket, std::function<void(int)> onAccept);
 
 private:
-    bool onReadable(std::string_view bytes) override;
+    bool onReadable() override;
     void onDescriptorClosed() override;
 
     int m_socket;
@@ -142,7 +146,8 @@
     connection_ptr connect(const std::string &address, connection_events *events);
     // Calls `task` in the next turn of the loop.
     void post(std::function<void()> task);
-    void onSignal(std::function<void()> task);
+    // SIGTERM and SIGINT go to `terminate`, SIGHUP goes to `reload`.
+    void onSignals(std::function<void()> terminate, std::function<void()> reload);
     void run();
     void stop();
 
@@ -150,8 +155,10 @@
     friend class connection;
     friend class timer;
     static int callback(lws *wsi, lws_callback_reasons reason, void *user, void *in, std::size_t length);
-    int handle(lws *wsi, lws_callback_reasons reason, std::string_view bytes);
+    int handle(lws *wsi, lws_callback_reasons reason);
     connection_ptr adopt(int socket, bool open);
+    // Null if libwebsockets refuses the descriptor, which is closed then.
+    lws *adoptDescriptor(int file, descriptor *user);
     bool adoptFile(int file, std::unique_ptr<descriptor> user);
     void runPosted();
     // Keeps the exception for run(), since it must not pass through libwebsockets.
--- a/src/net/net.cc
+++ b/src/net/net.cc
@@ -76,15 +76,30 @@
     }
 }
 
+void loop::abort(request_id id)
+{
+    if (const auto session = m_impl->find(id)) {
+        session->abort();
+    }
+}
+
+void loop::closeAfterAnswers(bool idleToo)
+{
+    for (const auto &server : m_impl->servers) {
+        server->closeAfterAnswers(idleToo);
+    }
+}
+
 std::size_t loop::bufferedBytes(request_id id) const
 {
     const auto session = m_impl->find(id);
     return session == nullptr ? 0 : session->buffered();
 }
 
-client_id loop::request(client_request request, result_handler onResult, chunk_handler onChunk)
+client_id loop::request(client_request request, result_handler onResult, chunk_handler onChunk, head_handler onHead)
 {
-    return m_impl->client.request(std::move(request), std::move(onResult), std::move(onChunk));
+    return m_impl->client.request(std::move(request),
+                                  {std::move(onResult), std::move(onChunk), std::move(onHead)});
 }
 
 void loop::cancel(client_id id)
@@ -145,9 +160,9 @@
     m_impl->wake.start(std::chrono::ceil<std::chrono::microseconds>(wait));
 }
 
-void loop::onTerminate(std::function<void()> task)
+void loop::onSignals(std::function<void()> terminate, std::function<void()> reload)
 {
-    m_impl->transport.onSignal(std::move(task));
+    m_impl->transport.onSignals(std::move(terminate), std::move(reload));
 }
 
 void loop::run()
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -50,8 +50,10 @@
 struct http_head
 {
     std::uint16_t status = 200;
-    std::string contentType = "application/json";
+    std::string contentType = "application/json"; // Empty: no such header.
     std::vector<std::pair<std::string, std::string>> headers;
+    // Of a streamed body; without it the body is sent in chunks.
+    std::optional<std::uint64_t> contentLength;
 };
 
 struct client_request
@@ -63,9 +65,25 @@
     std::vector<std::pair<std::string, std::string>> headers;
     std::chrono::milliseconds timeout{10000}; // For the whole exchange.
     std::chrono::milliseconds silence{0}; // Longest time without a byte, also while connecting; 0: no bound.
+    std::chrono::milliseconds connectTimeout{0}; // Until the connection is established; 0: no bound of its own.
     // Takes an idle connection if there is one, and keeps the connection for others. A peer may close such a connection
     // while the request is on its way, so requests that must not be repeated do without.
     bool reuseConnection = false;
+    std::chrono::milliseconds idleTime{4000}; // How long the connection is kept; less if the server announces less.
+};
+
+// Status line and headers of an answer, before its body.
+struct answer_head
+{
+    std::uint16_t status = 0;
+    std::vector<std::pair<std::string, std::string>> headers; // Names in lower case.
+    std::optional<std::uint64_t> contentLength;
+};
+
+// Whether an answer belongs to the request. A skipped answer is read to its end and dropped; the next one follows.
+enum class head_verdict : std::uint8_t {
+    Take,
+    Skip,
 };
 
 enum class client_error : std::uint8_t {
@@ -90,6 +108,7 @@
 
 using chunk_handler = std::function<void(std::string_view bytes)>;
 using result_handler = std::function<void(client_result)>;
+using head_handler = std::function<head_verdict(const answer_head &head)>;
 
 enum class stream_id : std::uint64_t {};
 
@@ -123,15 +142,22 @@
                              std::function<void(request_id)> disconnected = {});
     // Complete answer. Ignored if the client has gone.
     void respond(request_id id, const http_head &head, const std::string &body);
-    // Streamed answer: head, any number of writes, end.
+    // Streamed answer: head, any number of writes, end. With a content length, the writes must add up to it.
     void beginStream(request_id id, const http_head &head);
     void writeStream(request_id id, std::string_view bytes);
     void endStream(request_id id);
+    // Closes the connection of the request without an answer or in the middle of it. `disconnected` is not called.
+    void abort(request_id id);
+    // From now on each answer closes its connection, and so does the loop with connections that wait for a request
+    // when `idleToo` is set.
+    void closeAfterAnswers(bool idleToo);
     // Bytes accepted by writeStream() and not yet written to the socket.
     [[nodiscard]] std::size_t bufferedBytes(request_id id) const;
 
-    // Starts a request; `onChunk`, if set, gets the body of a 2xx answer as it arrives.
-    client_id request(client_request request, result_handler onResult, chunk_handler onChunk = {});
+    // Starts a request; `onChunk`, if set, gets the body of a 2xx answer as it arrives. With `onHead` it gets the body of
+    // every answer that `onHead` takes.
+    client_id request(client_request request, result_handler onResult, chunk_handler onChunk = {},
+                      head_handler onHead = {});
     // Closes the connection of the request; its handlers are not called any more.
     void cancel(client_id id);
 
@@ -146,8 +172,8 @@
     void every(std::chrono::milliseconds interval, std::function<void()> task);
     // Replaces the one wake-up time of the owner of the loop.
     void wakeAt(std::optional<time_point> when, std::function<void()> task);
-    // SIGTERM and SIGINT.
-    void onTerminate(std::function<void()> task);
+    // SIGTERM and SIGINT go to `terminate`, SIGHUP goes to `reload`.
+    void onSignals(std::function<void()> terminate, std::function<void()> reload = {});
 
     // Runs until stop(). An exception from a callback stops the loop and is thrown here.
     void run();
