--- /dev/null
+++ b/src/fleet/endpoint_pool.cc
@@ -0,0 +1,191 @@
+#include "fleet/fleet.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace jackdawpick::fleet
+{
+
+namespace
+{
+
+// Loads of a peer that has not reported for this long are no longer counted.
+constexpr std::chrono::milliseconds peerReportLife{2000};
+// Part of the connections that an endpoint accepts which the daemons use together, so that a daemon that has just
+// started finds some left.
+constexpr double usedConnections = 0.8;
+constexpr double smoothing = 0.1; // Weight of the newest service time.
+constexpr std::size_t maxCachedParts = 1024; // Remembered for each endpoint.
+constexpr std::chrono::seconds cachedPartLife{20};
+
+} // namespace
+
+void endpoint_pool::announce(const endpoint_entry &entry, time_point now)
+{
+    forgetGone(now);
+    auto &value = m_endpoints[entry.id];
+    if (value.entry.address != entry.address) {
+        value.failures = 0;
+        value.pausedUntil = {};
+        value.cached.clear();
+    }
+    value.entry = entry;
+    value.goneAt.reset();
+}
+
+void endpoint_pool::withdraw(const std::string &id, bool mayHaveLapsed, time_point now)
+{
+    const auto found = m_endpoints.find(id);
+    if (found == m_endpoints.end() || found->second.goneAt.has_value()) {
+        return;
+    }
+    found->second.goneAt = mayHaveLapsed ? now + lapseGrace : now;
+}
+
+void endpoint_pool::keepOnly(const std::set<std::string> &listed, bool mayHaveLapsed, time_point now)
+{
+    for (const auto &[id, value] : m_endpoints) {
+        if (!listed.contains(id)) {
+            withdraw(id, mayHaveLapsed, now);
+        }
+    }
+}
+
+void endpoint_pool::markLeaving(const std::string &id)
+{
+    if (const auto found = m_endpoints.find(id); found != m_endpoints.end()) {
+        found->second.leaving = true;
+    }
+}
+
+void endpoint_pool::setConnectionLimit(const std::string &service, std::uint32_t maxConnections, std::size_t daemons)
+{
+    if (maxConnections == 0) {
+        m_connectionLimits.erase(service);
+        return;
+    }
+    const double share = usedConnections * maxConnections / static_cast<double>(std::max<std::size_t>(daemons, 1));
+    m_connectionLimits[service] = std::max<std::uint32_t>(static_cast<std::uint32_t>(share), 1);
+}
+
+void endpoint_pool::setPeerLoads(const std::string &peer, const endpoint_loads &loads, time_point now)
+{
+    m_peers[peer] = {.loads = {loads.begin(), loads.end()}, .reported = now};
+}
+
+void endpoint_pool::forgetPeer(const std::string &peer)
+{
+    m_peers.erase(peer);
+}
+
+void endpoint_pool::onDispatched(const std::string &id, const placement_request &request, time_point now)
+{
+    const auto found = m_endpoints.find(id);
+    if (found == m_endpoints.end()) {
+        return;
+    }
+    auto &value = found->second;
+    ++value.inFlight;
+    for (const auto &part : request.prompt) {
+        value.cached[part.id] = {.tokens = part.tokens, .used = now};
+    }
+    if (value.cached.size() > maxCachedParts) {
+        std::erase_if(value.cached, [now](const auto &entry) { return now - entry.second.used > cachedPartLife; });
+    }
+    if (value.cached.size() > maxCachedParts) {
+        value.cached.clear();
+    }
+}
+
+void endpoint_pool::onFinished(const std::string &id, finish how, std::chrono::milliseconds took, time_point now)
+{
+    const auto found = m_endpoints.find(id);
+    if (found == m_endpoints.end()) {
+        return;
+    }
+    auto &value = found->second;
+    value.inFlight -= value.inFlight > 0 ? 1 : 0;
+    if (how == finish::Answered) {
+        const auto time = static_cast<double>(took.count());
+        value.serviceMilliseconds = value.serviceMilliseconds.value_or(time) * (1 - smoothing) + time * smoothing;
+        value.failures = 0;
+        value.pausedUntil = {};
+    } else if (how == finish::Unreachable || how == finish::Broken) {
+        const auto pause = firstPause * (1U << std::min(value.failures, 8U));
+        // One lost answer says little of the endpoint; a second one in a row, or no connection at all, says more.
+        if (how == finish::Unreachable || value.failures > 0) {
+            value.pausedUntil = now + std::min<std::chrono::milliseconds>(pause, longestPause);
+        }
+        ++value.failures;
+    }
+    forgetGone(now);
+}
+
+endpoint_loads endpoint_pool::ownLoads() const
+{
+    endpoint_loads loads;
+    for (const auto &[id, value] : m_endpoints) {
+        if (value.inFlight > 0) {
+            loads.emplace_back(id, value.inFlight);
+        }
+    }
+    return loads;
+}
+
+double endpoint_pool::utilisation(const std::string &service, time_point now) const
+{
+    double busy = 0;
+    double slots = 0;
+    for (const auto &[id, value] : m_endpoints) {
+        if (value.entry.service == service && isUsable(value, now)) {
+            busy += totalInFlight(value, now);
+            slots += value.entry.slots;
+        }
+    }
+    return slots > 0 ? busy / slots : 0;
+}
+
+std::size_t endpoint_pool::usable(const std::string &service, time_point now) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_endpoints, [&](const auto &entry) {
+        return entry.second.entry.service == service && isUsable(entry.second, now);
+    }));
+}
+
+std::size_t endpoint_pool::size() const
+{
+    return m_endpoints.size();
+}
+
+bool endpoint_pool::isUsable(const endpoint &value, time_point now) const
+{
+    return !value.entry.draining && !value.leaving && (!value.goneAt.has_value() || *value.goneAt > now);
+}
+
+std::uint32_t endpoint_pool::totalInFlight(const endpoint &value, time_point now) const
+{
+    return std::accumulate(m_peers.begin(), m_peers.end(), value.inFlight, [&](std::uint32_t sum, const auto &peer) {
+        if (now - peer.second.reported > peerReportLife) {
+            return sum;
+        }
+        const auto found = peer.second.loads.find(value.entry.id);
+        return found == peer.second.loads.end() ? sum : sum + found->second;
+    });
+}
+
+std::uint32_t endpoint_pool::connectionLimit(const std::string &service) const
+{
+    const auto found = m_connectionLimits.find(service);
+    return found == m_connectionLimits.end() ? UINT32_MAX : found->second;
+}
+
+// Endpoints stay until their last request has ended.
+void endpoint_pool::forgetGone(time_point now)
+{
+    std::erase_if(m_endpoints, [now](const auto &entry) {
+        const auto &value = entry.second;
+        return value.goneAt.has_value() && *value.goneAt <= now && value.inFlight == 0;
+    });
+}
+
+} // namespace jackdawpick::fleet
--- /dev/null
+++ b/src/fleet/fleet.h
@@ -0,0 +1,157 @@
+#pragma once
+
+// The endpoints known to a daemon and the choice of one for a request.
+//
+//   endpoint_pool pool;
+//   pool.announce({.id = "e1", .service = "model-pool", .address = "10.0.0.1:80", .zone = "a", .slots = 12}, now);
+//   if (auto chosen = pool.choose({.service = "model-pool", .zone = "a"}, 0.5, now)) {
+//       pool.onDispatched(chosen->id, now);
+//       ...
+//       pool.onFinished(chosen->id, finish::Answered, 80ms, now);
+//   }
+//
+// Pure; thread compatible.
+
+#include "clock/clock.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace jackdawpick::fleet
+{
+
+struct endpoint_entry
+{
+    std::string id; // Of one life of the endpoint.
+    std::string service;
+    std::string address; // "ip:port"
+    std::string zone;
+    std::uint32_t slots = 1; // Requests processed at the same time.
+    bool draining = false;
+    bool operator==(const endpoint_entry &) const = default;
+};
+
+// A part of a prompt; requests with the same leading parts can use what an engine has cached of them.
+struct prompt_part
+{
+    std::string id;
+    std::uint32_t tokens = 0;
+    bool operator==(const prompt_part &) const = default;
+};
+
+struct placement_request
+{
+    std::string service;
+    std::string zone; // Of the daemon.
+    std::vector<prompt_part> prompt; // Empty for plain services.
+    std::string affinity; // Requests with the same value do best on the same endpoint; may be empty.
+    std::uint32_t outputTokens = 0; // Expected; 0 for plain services.
+    std::set<std::string> excluded; // Ids of endpoints that have already rejected the request.
+};
+
+struct placement
+{
+    std::string id;
+    std::string address;
+    std::chrono::duration<double, std::milli> expectedWait{0}; // Until the endpoint begins with the request.
+};
+
+// How a request at an endpoint ended.
+enum class finish : std::uint8_t {
+    Answered,
+    Rejected, // The endpoint is full or leaving and has not run the request.
+    Unreachable, // No connection.
+    Broken, // The connection was lost or fell silent.
+    Cancelled, // By the daemon; says nothing of the endpoint.
+};
+
+// Requests in flight at each endpoint, as reported by another daemon.
+using endpoint_loads = std::vector<std::pair<std::string, std::uint32_t>>;
+
+class endpoint_pool
+{
+public:
+    // How long an endpoint is passed over after its first failure in a row; doubled with each further one.
+    static constexpr std::chrono::milliseconds firstPause{300};
+    static constexpr std::chrono::milliseconds longestPause{5000};
+    // How long an endpoint that the list has lost while the store was away stays in use: living endpoints are listed
+    // again within this time.
+    static constexpr std::chrono::milliseconds lapseGrace{2000};
+
+    void announce(const endpoint_entry &entry, time_point now);
+    // Takes the endpoint out of use: at once, or after the grace if its entry may have lapsed with the store away.
+    void withdraw(const std::string &id, bool mayHaveLapsed, time_point now);
+    // Withdraws all endpoints that are not among `listed`.
+    void keepOnly(const std::set<std::string> &listed, bool mayHaveLapsed, time_point now);
+    // An answer said that the endpoint is leaving or that another one has its address.
+    void markLeaving(const std::string &id);
+
+    // `daemons` share the connections that an endpoint accepts from all of them.
+    void setConnectionLimit(const std::string &service, std::uint32_t maxConnections, std::size_t daemons);
+    void setPeerLoads(const std::string &peer, const endpoint_loads &loads, time_point now);
+    void forgetPeer(const std::string &peer);
+
+    // Nothing if no endpoint of the service can be used. `noise` in [0, 1) breaks ties, so that daemons with the same
+    // view do not all choose the same endpoint.
+    [[nodiscard]] std::optional<placement> choose(const placement_request &request, double noise, time_point now) const;
+    void onDispatched(const std::string &id, const placement_request &request, time_point now);
+    // `took` is the time the endpoint worked on the request; it is ignored unless the request was answered.
+    void onFinished(const std::string &id, finish how, std::chrono::milliseconds took, time_point now);
+
+    [[nodiscard]] endpoint_loads ownLoads() const;
+    // Requests in flight divided by slots over the usable endpoints of the service; 0 if there are none.
+    [[nodiscard]] double utilisation(const std::string &service, time_point now) const;
+    [[nodiscard]] std::size_t usable(const std::string &service, time_point now) const;
+    [[nodiscard]] std::size_t size() const;
+
+private:
+    struct cached_part
+    {
+        std::uint32_t tokens = 0;
+        time_point used;
+    };
+
+    struct endpoint
+    {
+        endpoint_entry entry;
+        bool leaving = false;
+        std::optional<time_point> goneAt; // The grace after a lapse ends.
+        std::uint32_t inFlight = 0; // Of this daemon.
+        unsigned failures = 0; // In a row.
+        time_point pausedUntil{};
+        std::optional<double> serviceMilliseconds; // Smoothed.
+        std::unordered_map<std::string, cached_part> cached;
+    };
+
+    struct peer_view
+    {
+        std::unordered_map<std::string, std::uint32_t> loads;
+        time_point reported;
+    };
+
+    struct candidate
+    {
+        const endpoint *where = nullptr;
+        double wait = 0; // Milliseconds.
+        double cost = 0; // Milliseconds, the wait included.
+    };
+
+    [[nodiscard]] bool isUsable(const endpoint &value, time_point now) const;
+    [[nodiscard]] std::uint32_t totalInFlight(const endpoint &value, time_point now) const;
+    [[nodiscard]] candidate rate(const endpoint &value, const placement_request &request, double usualTime,
+                                 time_point now) const;
+    [[nodiscard]] double usualServiceTime(const std::string &service) const;
+    [[nodiscard]] std::uint32_t connectionLimit(const std::string &service) const;
+    void forgetGone(time_point now);
+
+    std::map<std::string, endpoint> m_endpoints;
+    std::map<std::string, std::uint32_t> m_connectionLimits; // Of this daemon, by service.
+    std::map<std::string, peer_view> m_peers;
+};
+
+} // namespace jackdawpick::fleet
--- /dev/null
+++ b/src/peers/peers.cc
@@ -0,0 +1,268 @@
+#include "peers/peers.h"
+
+#include <algorithm>
+#include <iterator>
+#include <peer_messages_generated.h>
+
+namespace jackdawpick::peers
+{
+
+namespace
+{
+
+using builder = flatbuffers::FlatBufferBuilder;
+using any_offset = flatbuffers::Offset<void>;
+
+// ---- Encoding ----
+
+flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>> packBytes(builder &out, const std::string &text)
+{
+    return out.CreateVector(reinterpret_cast<const std::uint8_t *>(text.data()), text.size());
+}
+
+any_offset pack(builder &out, const hello &value)
+{
+    const auto name = out.CreateString(value.name);
+    const auto zone = out.CreateString(value.zone);
+    const auto caller = out.CreateString(value.callerAddress);
+    const auto peer = out.CreateString(value.peerAddress);
+    return fbs::CreateHello(out, name, value.incarnation, zone, caller, peer).Union();
+}
+
+any_offset pack(builder &out, const beat &value)
+{
+    std::vector<flatbuffers::Offset<fbs::Load>> loads;
+    std::ranges::transform(value.loads, std::back_inserter(loads), [&out](const auto &load) {
+        return fbs::CreateLoad(out, out.CreateString(load.first), load.second);
+    });
+    return fbs::CreateBeat(out, value.ready, value.storeReachable, value.configuration, out.CreateVector(loads))
+        .Union();
+}
+
+// Fills the fields of StoreCall that the kind of call uses.
+struct call_packer
+{
+    builder &out;
+    std::uint64_t id;
+
+    any_offset operator()(const store::append_call &what) const
+    {
+        std::vector<flatbuffers::Offset<fbs::Bytes>> records;
+        std::ranges::transform(what.records, std::back_inserter(records), [this](const std::string &record) {
+            return fbs::CreateBytes(out, packBytes(out, record));
+        });
+        const auto list = out.CreateVector(records);
+        return fbs::CreateStoreCall(out, id, fbs::CallKind::Append, out.CreateString(what.where.topic),
+                                    what.where.number, list)
+            .Union();
+    }
+
+    any_offset operator()(const store::read_call &what) const
+    {
+        return fbs::CreateStoreCall(out, id, fbs::CallKind::Read, out.CreateString(what.where.topic),
+                                    what.where.number, 0, what.from, static_cast<std::uint32_t>(what.wait.count()),
+                                    what.maxKilobytes, what.keyed)
+            .Union();
+    }
+
+    any_offset operator()(const store::newest_call &what) const
+    {
+        const auto topic = out.CreateString(what.where.topic);
+        const auto key = out.CreateString(what.after);
+        return fbs::CreateStoreCall(out, id, fbs::CallKind::Newest, topic, what.where.number, 0, 0, 0, 0, true, key)
+            .Union();
+    }
+
+    any_offset operator()(const store::put_call &what) const
+    {
+        const auto topic = out.CreateString(what.where.topic);
+        const auto key = out.CreateString(what.key);
+        const auto records = out.CreateVector(std::vector{fbs::CreateBytes(out, packBytes(out, what.value))});
+        return fbs::CreateStoreCall(out, id, fbs::CallKind::Put, topic, what.where.number, records, 0, 0, 0, true,
+                                    key)
+            .Union();
+    }
+};
+
+any_offset pack(builder &out, const store_request &value)
+{
+    return std::visit(call_packer{out, value.id}, value.what);
+}
+
+// Fills the fields of StoreReply that the kind of reply uses.
+struct reply_packer
+{
+    builder &out;
+    std::uint64_t id;
+
+    auto packRecords(const std::vector<store::record> &records) const
+    {
+        std::vector<flatbuffers::Offset<fbs::Record>> list;
+        std::ranges::transform(records, std::back_inserter(list), [this](const store::record &entry) {
+            const auto key = out.CreateString(entry.key);
+            return fbs::CreateRecord(out, entry.offset, key, packBytes(out, entry.value));
+        });
+        return out.CreateVector(list);
+    }
+
+    any_offset operator()(const store::appended &result) const
+    {
+        return fbs::CreateStoreReply(out, id, fbs::ReplyKind::Appended, result.offset).Union();
+    }
+
+    any_offset operator()(const store::records_read &result) const
+    {
+        const auto records = packRecords(result.records);
+        return fbs::CreateStoreReply(out, id, fbs::ReplyKind::RecordsRead, 0, result.end, false, 0, records).Union();
+    }
+
+    any_offset operator()(const store::expired &result) const
+    {
+        return fbs::CreateStoreReply(out, id, fbs::ReplyKind::Expired, result.first).Union();
+    }
+
+    any_offset operator()(const store::newest_page &result) const
+    {
+        const auto records = packRecords(result.records);
+        return fbs::CreateStoreReply(out, id, fbs::ReplyKind::NewestPage, 0, result.end, result.more, 0, records)
+            .Union();
+    }
+
+    any_offset operator()(const store::failure &reason) const
+    {
+        return fbs::CreateStoreReply(out, id, fbs::ReplyKind::Failure, 0, 0, false, static_cast<std::uint8_t>(reason))
+            .Union();
+    }
+};
+
+any_offset pack(builder &out, const store_response &value)
+{
+    return std::visit(reply_packer{out, value.id}, value.result);
+}
+
+// ---- Decoding ----
+
+std::string unpack(const flatbuffers::String *text)
+{
+    return text == nullptr ? std::string() : text->str();
+}
+
+std::string unpack(const flatbuffers::Vector<std::uint8_t> *bytes)
+{
+    return bytes == nullptr ? std::string()
+                            : std::string(reinterpret_cast<const char *>(bytes->data()), bytes->size());
+}
+
+beat unpack(const fbs::Beat &body)
+{
+    beat value{.ready = body.ready(), .storeReachable = body.store_reachable(), .configuration = body.configuration()};
+    for (const auto *load : *body.loads()) {
+        value.loads.emplace_back(load->endpoint()->str(), load->in_flight());
+    }
+    return value;
+}
+
+std::vector<std::string> unpackRecords(const fbs::StoreCall &body)
+{
+    std::vector<std::string> records;
+    if (body.records() != nullptr) {
+        for (const auto *record : *body.records()) {
+            records.push_back(unpack(record->content()));
+        }
+    }
+    return records;
+}
+
+std::optional<message> unpack(const fbs::StoreCall &body)
+{
+    const store::partition where{unpack(body.topic()), body.part()};
+    switch (body.kind()) {
+    case fbs::CallKind::Append:
+        return store_request{body.id(), store::append_call{where, unpackRecords(body)}};
+    case fbs::CallKind::Read:
+        return store_request{body.id(),
+                             store::read_call{.where = where,
+                                              .from = body.from(),
+                                              .wait = std::chrono::milliseconds(body.wait_ms()),
+                                              .maxKilobytes = body.max_kilobytes(),
+                                              .keyed = body.keyed()}};
+    case fbs::CallKind::Newest:
+        return store_request{body.id(), store::newest_call{where, unpack(body.key())}};
+    case fbs::CallKind::Put: {
+        auto records = unpackRecords(body);
+        if (records.size() == 1) {
+            return store_request{body.id(), store::put_call{where, unpack(body.key()), std::move(records.front())}};
+        }
+        break;
+    }
+    }
+    return std::nullopt;
+}
+
+std::vector<store::record> unpackRecords(const fbs::StoreReply &body)
+{
+    std::vector<store::record> records;
+    if (body.records() != nullptr) {
+        for (const auto *record : *body.records()) {
+            records.push_back({record->offset(), unpack(record->key()), unpack(record->value())});
+        }
+    }
+    return records;
+}
+
+std::optional<message> unpack(const fbs::StoreReply &body)
+{
+    switch (body.kind()) {
+    case fbs::ReplyKind::Appended:
+        return store_response{body.id(), store::appended{body.offset()}};
+    case fbs::ReplyKind::RecordsRead:
+        return store_response{body.id(), store::records_read{body.end(), unpackRecords(body)}};
+    case fbs::ReplyKind::Expired:
+        return store_response{body.id(), store::expired{body.offset()}};
+    case fbs::ReplyKind::NewestPage:
+        return store_response{body.id(), store::newest_page{unpackRecords(body), body.more(), body.end()}};
+    case fbs::ReplyKind::Failure:
+        if (body.failure() <= static_cast<std::uint8_t>(store::failure::Rejected)) {
+            return store_response{body.id(), static_cast<store::failure>(body.failure())};
+        }
+        break;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::string encodeMessage(const message &value)
+{
+    builder out;
+    const auto body = std::visit([&out](const auto &part) { return pack(out, part); }, value);
+    const auto type = static_cast<fbs::Body>(value.index() + 1); // The union lists the alternatives in this order.
+    out.Finish(fbs::CreateMessage(out, type, body));
+    return {reinterpret_cast<const char *>(out.GetBufferPointer()), out.GetSize()};
+}
+
+std::optional<message> decodeMessage(std::string_view bytes)
+{
+    const std::string aligned(bytes); // FlatBuffers expects its buffer aligned; a frame starts anywhere in the stream.
+    flatbuffers::Verifier verifier(reinterpret_cast<const std::uint8_t *>(aligned.data()), aligned.size());
+    if (!verifier.VerifyBuffer<fbs::Message>(nullptr)) {
+        return std::nullopt;
+    }
+    const auto *root = flatbuffers::GetRoot<fbs::Message>(aligned.data());
+    if (const auto *body = root->body_as_Hello()) {
+        return hello{unpack(body->name()), body->incarnation(), unpack(body->zone()), unpack(body->caller_address()),
+                     unpack(body->peer_address())};
+    }
+    if (const auto *body = root->body_as_Beat()) {
+        return unpack(*body);
+    }
+    if (const auto *body = root->body_as_StoreCall()) {
+        return unpack(*body);
+    }
+    if (const auto *body = root->body_as_StoreReply()) {
+        return unpack(*body);
+    }
+    return std::nullopt;
+}
+
+} // namespace jackdawpick::peers
--- /dev/null
+++ b/src/peers/peers.h
@@ -0,0 +1,64 @@
+#pragma once
+
+// What the daemons of a deployment say to each other over framed TCP.
+//
+//   link.send(framing::encodeFrame(peers::encodeMessage(peers::beat{.ready = true})));
+//   auto message = peers::decodeMessage(payload);   // nothing if the bytes are not a message
+//
+// Value types; thread compatible.
+
+#include "fleet/fleet.h"
+#include "store/store.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace jackdawpick::peers
+{
+
+// First message on each link in both directions, and the record by which daemons find each other.
+struct hello
+{
+    std::string name; // Unique among all daemons.
+    std::uint64_t incarnation = 0; // Differs between two starts of one daemon.
+    std::string zone;
+    std::string callerAddress; // "ip:port" for callers.
+    std::string peerAddress; // "ip:port" for daemons.
+    bool operator==(const hello &) const = default;
+};
+
+// Sent on every link at a fixed interval.
+struct beat
+{
+    bool ready = false; // Takes requests of callers.
+    bool storeReachable = false; // Without the help of another daemon.
+    std::uint64_t configuration = 0; // Version in force; 0: none.
+    fleet::endpoint_loads loads;
+    bool operator==(const beat &) const = default;
+};
+
+// Asks the receiver to make a store call.
+struct store_request
+{
+    std::uint64_t id = 0; // Chosen by the sender, unique on the link.
+    store::call what;
+    bool operator==(const store_request &) const = default;
+};
+
+struct store_response
+{
+    std::uint64_t id = 0;
+    store::reply result;
+    bool operator==(const store_response &) const = default;
+};
+
+using message = std::variant<hello, beat, store_request, store_response>;
+
+[[nodiscard]] std::string encodeMessage(const message &value);
+// Nothing if the bytes are not a valid message.
+[[nodiscard]] std::optional<message> decodeMessage(std::string_view bytes);
+
+} // namespace jackdawpick::peers
--- /dev/null
+++ b/src/peers/peers_test.cc
@@ -0,0 +1,52 @@
+#include "peers/peers.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace jackdawpick::peers
+{
+
+namespace
+{
+
+std::vector<message> allMessages()
+{
+    using namespace std::chrono_literals;
+    const store::partition where{"programs-1", 7};
+    const std::string binary("a\0b", 3);
+    return {hello{"n", 42, "z", "1.2.3.4:5", "1.2.3.4:6"},
+            beat{.ready = true, .storeReachable = true, .configuration = 9, .loads = {{"e1", 3}, {"e2", 1}}},
+            store_request{1, store::append_call{where, {binary, ""}}},
+            store_request{2, store::read_call{where, 17, 250ms, 64, true}},
+            store_request{3, store::newest_call{where, "after"}},
+            store_request{4, store::put_call{where, "key", binary}},
+            store_response{1, store::appended{99}},
+            store_response{2, store::records_read{12, {{10, "", binary}, {11, "k", ""}}}},
+            store_response{3, store::expired{5}},
+            store_response{4, store::newest_page{{{1, "k", "v"}}, true, 8}},
+            store_response{5, store::failure::Refused}};
+}
+
+} // namespace
+
+// Guards against a relayed call or reply that arrives changed.
+TEST(PeerMessages, AreReadBackAsWritten)
+{
+    for (const auto &value : allMessages()) {
+        EXPECT_EQ(decodeMessage(encodeMessage(value)), value);
+    }
+}
+
+// Guards against a crash on damaged messages.
+RC_GTEST_PROP(PeerMessages, DamagedBytesAreReadSafely, (std::string bytes, unsigned short position, unsigned char mask))
+{
+    (void)decodeMessage(bytes);
+    for (const auto &value : allMessages()) {
+        auto text = encodeMessage(value);
+        text.at(position % text.size()) ^= static_cast<char>(mask);
+        (void)decodeMessage(text);
+        (void)decodeMessage(std::string_view(text).substr(0, position % text.size()));
+    }
+}
+
+} // namespace jackdawpick::peers
--- /dev/null
+++ b/src/programs/budget_ledger.cc
@@ -0,0 +1,77 @@
+#include "programs/programs.h"
+
+namespace jackdawpick::programs
+{
+
+void budget_ledger::apply(const program_record &value, time_point now)
+{
+    if (const auto *asked = std::get_if<reservation>(&value)) {
+        auto &program = m_programs[asked->program];
+        program.lastRecord = now;
+        reserve(program, *asked);
+    } else if (const auto *used = std::get_if<settlement>(&value)) {
+        auto &program = m_programs[used->program];
+        program.lastRecord = now;
+        settle(program, *used);
+    }
+}
+
+// The first record of a request decides; a repeated append of it changes nothing.
+void budget_ledger::reserve(program_state &program, const reservation &value)
+{
+    const auto [entry, isNew] = program.attempts.try_emplace(value.attempt);
+    if (!isNew) {
+        return;
+    }
+    const auto &usage = program.usage;
+    const bool fits = usage.spent + usage.reserved + value.tokens <= value.budget;
+    entry->second = {.tokens = value.tokens, .granted = fits};
+    if (fits) {
+        program.usage.reserved += value.tokens;
+    }
+}
+
+void budget_ledger::settle(program_state &program, const settlement &value)
+{
+    auto &attempt = program.attempts[value.attempt];
+    if (attempt.settled) {
+        return;
+    }
+    if (attempt.granted) {
+        program.usage.reserved -= attempt.tokens;
+    }
+    attempt.tokens = value.tokens;
+    attempt.settled = true;
+    program.usage.spent += value.tokens;
+}
+
+verdict budget_ledger::verdictOn(const std::string &program, const std::string &attempt) const
+{
+    const auto state = m_programs.find(program);
+    if (state == m_programs.end()) {
+        return verdict::Unknown;
+    }
+    const auto found = state->second.attempts.find(attempt);
+    if (found == state->second.attempts.end()) {
+        return verdict::Unknown;
+    }
+    return found->second.granted ? verdict::Granted : verdict::Denied;
+}
+
+budget_usage budget_ledger::usageOf(const std::string &program) const
+{
+    const auto state = m_programs.find(program);
+    return state == m_programs.end() ? budget_usage{} : state->second.usage;
+}
+
+void budget_ledger::forgetIdle(time_point now)
+{
+    std::erase_if(m_programs, [now](const auto &entry) { return now - entry.second.lastRecord > forgetAfter; });
+}
+
+std::size_t budget_ledger::size() const
+{
+    return m_programs.size();
+}
+
+} // namespace jackdawpick::programs
--- /dev/null
+++ b/src/programs/programs_test.cc
@@ -0,0 +1,124 @@
+#include "programs/programs.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace jackdawpick::programs
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+const time_point start{1h};
+
+} // namespace
+
+// Guards against records that lose a field on their way through the log.
+TEST(ProgramRecords, AreReadBackAsWritten)
+{
+    const std::vector<program_record> all{reservation{"p", "a", 567, 4536}, settlement{"p", "a", 270},
+                                          turn{"t", std::string("in\0out\n", 7)}};
+    for (const auto &value : all) {
+        EXPECT_EQ(decodeRecord(encodeRecord(value)), value);
+    }
+}
+
+// Guards against a crash on bytes that another writer has left in the partition.
+RC_GTEST_PROP(ProgramRecords, AnyBytesAreReadSafely, (std::string bytes, unsigned char position))
+{
+    (void)decodeRecord(bytes);
+    auto record = encodeRecord(turn{"turn", "history"});
+    record.at(position % record.size()) ^= static_cast<char>(position | 1);
+    (void)decodeRecord(record);
+}
+
+// Guards against programs that generate more than their budget in parallel requests.
+TEST(BudgetLedger, ReservationsBeyondTheBudgetAreDenied)
+{
+    budget_ledger ledger;
+    ledger.apply(reservation{"p", "1", 400, 1000}, start);
+    ledger.apply(reservation{"p", "2", 400, 1000}, start);
+    ledger.apply(reservation{"p", "3", 400, 1000}, start);
+    EXPECT_EQ(ledger.verdictOn("p", "1"), verdict::Granted);
+    EXPECT_EQ(ledger.verdictOn("p", "2"), verdict::Granted);
+    EXPECT_EQ(ledger.verdictOn("p", "3"), verdict::Denied);
+    EXPECT_EQ(ledger.verdictOn("q", "1"), verdict::Unknown);
+    EXPECT_EQ(ledger.verdictOn("p", "4"), verdict::Unknown);
+}
+
+// Guards against turns that are denied although the earlier ones used little.
+TEST(BudgetLedger, SettlementReplacesTheReservation)
+{
+    budget_ledger ledger;
+    ledger.apply(reservation{"p", "1", 900, 1000}, start);
+    ledger.apply(settlement{"p", "1", 100}, start);
+    ledger.apply(reservation{"p", "2", 900, 1000}, start);
+    EXPECT_EQ(ledger.verdictOn("p", "2"), verdict::Granted);
+    EXPECT_EQ(ledger.usageOf("p").spent, 100U);
+    EXPECT_EQ(ledger.usageOf("p").reserved, 900U);
+}
+
+// Guards against a reservation that the store executes seconds late, after its request was settled.
+TEST(BudgetLedger, LateAndRepeatedRecordsChangeNothing)
+{
+    budget_ledger ledger;
+    ledger.apply(settlement{"p", "1", 0}, start);
+    ledger.apply(reservation{"p", "1", 900, 1000}, start);
+    ledger.apply(reservation{"p", "2", 900, 1000}, start);
+    ledger.apply(reservation{"p", "2", 900, 1000}, start);
+    ledger.apply(settlement{"p", "2", 300}, start);
+    ledger.apply(settlement{"p", "2", 300}, start);
+    EXPECT_EQ(ledger.verdictOn("p", "2"), verdict::Granted);
+    EXPECT_EQ(ledger.usageOf("p").spent, 300U);
+    EXPECT_EQ(ledger.usageOf("p").reserved, 0U);
+}
+
+// Guards against a sum of spent and reserved tokens beyond the budget under any order of records.
+RC_GTEST_PROP(BudgetLedger, NeverExceedsTheBudget, (std::vector<std::pair<unsigned char, bool>> steps))
+{
+    constexpr std::uint32_t most = 100;
+    constexpr std::uint32_t budget = 450;
+    budget_ledger ledger;
+    for (const auto &[number, settles] : steps) {
+        const auto attempt = std::to_string(number % 16);
+        if (!settles) {
+            ledger.apply(reservation{"p", attempt, most, budget}, start);
+        } else if (ledger.verdictOn("p", attempt) == verdict::Granted) {
+            ledger.apply(settlement{"p", attempt, number % (most + 1)}, start);
+        }
+        const auto usage = ledger.usageOf("p");
+        RC_ASSERT(usage.spent + usage.reserved <= budget);
+    }
+}
+
+// Guards against memory that grows with every program that ever ran.
+TEST(BudgetLedger, IdleProgramsAreForgotten)
+{
+    budget_ledger ledger;
+    ledger.apply(reservation{"p", "1", 1, 10}, start);
+    ledger.forgetIdle(start + budget_ledger::forgetAfter);
+    EXPECT_EQ(ledger.size(), 1U);
+    ledger.forgetIdle(start + budget_ledger::forgetAfter + 1s);
+    EXPECT_EQ(ledger.size(), 0U);
+}
+
+// Guards against a cache without bound, and against a turn whose place is lost with its text.
+TEST(TurnCache, EvictsTheTextAndKeepsThePlace)
+{
+    turn_cache cache(10, 60s);
+    cache.add("a", "aaaaaa", {{"turns-0", 1}, 5}, start);
+    cache.add("b", "bbbbbb", {{"turns-0", 2}, 6}, start);
+    EXPECT_EQ(cache.find("a"), nullptr);
+    ASSERT_NE(cache.find("b"), nullptr);
+    EXPECT_EQ(*cache.find("b"), "bbbbbb");
+    EXPECT_EQ(cache.locate("a")->offset, 5U);
+    EXPECT_EQ(cache.locate("c"), std::nullopt);
+    EXPECT_EQ(cache.bytes(), 6U);
+    cache.forgetExpired(start + 61s);
+    EXPECT_EQ(cache.locate("a"), std::nullopt);
+    EXPECT_EQ(cache.bytes(), 0U);
+}
+
+} // namespace jackdawpick::programs
--- /dev/null
+++ b/src/routing/routing.cc
@@ -0,0 +1,66 @@
+#include "routing/routing.h"
+
+#include <algorithm>
+#include <array>
+#include <numeric>
+#include <tuple>
+
+namespace jackdawpick::routing
+{
+
+namespace
+{
+
+constexpr std::array<std::string_view, 3> repetitionNames{"idempotent", "non_idempotent", "stream"};
+
+} // namespace
+
+std::string_view nameOf(repetition value)
+{
+    return repetitionNames.at(static_cast<std::size_t>(value));
+}
+
+route_table::route_table(configuration source)
+    : m_source(std::move(source))
+{
+    std::ranges::sort(m_source.routes, [](const route &a, const route &b) {
+        return std::tuple(std::string_view(a.host), b.pathPrefix.size())
+            < std::tuple(std::string_view(b.host), a.pathPrefix.size());
+    });
+}
+
+const route *route_table::find(std::string_view host, std::string_view path) const
+{
+    const auto ofHost = std::ranges::equal_range(m_source.routes, host, std::less<>(),
+                                                 [](const route &entry) { return std::string_view(entry.host); });
+    const auto found =
+        std::ranges::find_if(ofHost, [path](const route &entry) { return path.starts_with(entry.pathPrefix); });
+    return found == ofHost.end() ? nullptr : &*found;
+}
+
+const service *route_table::findService(std::string_view name) const
+{
+    const auto found = std::ranges::find(m_source.services, name, &service::name);
+    return found == m_source.services.end() ? nullptr : &*found;
+}
+
+const configuration &route_table::source() const
+{
+    return m_source;
+}
+
+std::string_view chooseService(const route &from, double position)
+{
+    const double total = std::accumulate(from.services.begin(), from.services.end(), 0.0,
+                                         [](double sum, const service_share &share) { return sum + share.weight; });
+    double reached = 0;
+    for (const auto &share : from.services) {
+        reached += share.weight;
+        if (position * total < reached) {
+            return share.service;
+        }
+    }
+    return from.services.empty() ? std::string_view() : std::string_view(from.services.back().service);
+}
+
+} // namespace jackdawpick::routing
--- /dev/null
+++ b/src/store/partition_log.cc
@@ -0,0 +1,248 @@
+#include "store/partition_log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jackdawpick::store
+{
+
+ticket_id partition_log::append(const partition &where, std::string record, follow until, time_point deadline)
+{
+    auto &state = m_partitions[where];
+    m_active.insert(where);
+    const ticket_id ticket{++m_lastTicket};
+    state.queued.push_back({.ticket = ticket, .record = std::move(record), .until = until, .deadline = deadline});
+    startAppend(where, state);
+    if (until == follow::UntilRead) {
+        startRead(where, state); // Beside the append: usually nothing else comes between, and no second read is due.
+    }
+    return ticket;
+}
+
+ticket_id partition_log::catchUp(const partition &where, time_point deadline)
+{
+    auto &state = m_partitions[where];
+    m_active.insert(where);
+    const ticket_id ticket{++m_lastTicket};
+    state.waiting.push_back(
+        {.ticket = ticket, .toEnd = true, .afterRead = state.readsStarted, .deadline = deadline});
+    startRead(where, state);
+    return ticket;
+}
+
+void partition_log::startAppend(const partition &where, partition_state &state)
+{
+    if (state.appendCall.has_value() || state.queued.empty() || state.retryAppendAt.has_value()) {
+        return;
+    }
+    append_call what{.where = where};
+    for (auto &entry : state.queued) {
+        what.records.push_back(entry.record);
+        state.inFlight.push_back(std::move(entry));
+    }
+    state.queued.clear();
+    const call_id id{++m_lastCall};
+    state.appendCall = id;
+    m_calls.emplace(m_lastCall, open_call{.where = where});
+    m_outputs.emplace_back(start_call{.id = id, .what = std::move(what)});
+}
+
+void partition_log::startRead(const partition &where, partition_state &state)
+{
+    if (state.readCall.has_value() || state.retryReadAt.has_value()) {
+        return;
+    }
+    const call_id id{++m_lastCall};
+    state.readCall = id;
+    ++state.readsStarted;
+    m_calls.emplace(m_lastCall, open_call{.where = where, .isRead = true});
+    m_outputs.emplace_back(start_call{.id = id, .what = read_call{.where = where, .from = state.next}});
+}
+
+void partition_log::onReply(call_id id, const reply &result, time_point now)
+{
+    const auto node = m_calls.extract(static_cast<std::uint64_t>(id));
+    if (!node) {
+        return;
+    }
+    const partition &where = node.mapped().where;
+    auto &state = m_partitions[where];
+    if (!node.mapped().isRead) {
+        state.appendCall.reset();
+        if (const auto *done = std::get_if<appended>(&result)) {
+            onAppended(where, state, *done);
+        } else {
+            const auto *reason = std::get_if<failure>(&result);
+            onAppendFailed(state, reason == nullptr ? failure::NoReply : *reason, now);
+        }
+        startAppend(where, state);
+    } else {
+        state.readCall.reset();
+        if (const auto *records = std::get_if<records_read>(&result)) {
+            onRead(where, state, *records);
+        } else if (const auto *gone = std::get_if<expired>(&result)) {
+            state.next = std::max(state.next, gone->first);
+            startRead(where, state);
+        } else {
+            state.retryReadAt = now + retryDelay;
+        }
+    }
+    dropExpired(state, now);
+    if (idle(state) && !state.retryReadAt.has_value()) {
+        m_active.erase(where);
+    }
+}
+
+void partition_log::onAppended(const partition &where, partition_state &state, const appended &result)
+{
+    std::uint64_t offset = result.offset;
+    for (auto &entry : std::exchange(state.inFlight, {})) {
+        if (offset >= state.next) {
+            state.ownRecords.emplace(offset, std::move(entry.record));
+        }
+        if (entry.until == follow::UntilRead) {
+            state.waiting.push_back({.ticket = entry.ticket, .offset = offset, .deadline = entry.deadline});
+        } else {
+            m_outputs.emplace_back(ticket_result{.ticket = entry.ticket, .done = true, .offset = offset});
+        }
+        ++offset;
+    }
+    if (!state.readCall.has_value()) {
+        deliverOwn(where, state);
+        reportReached(state, false, state.readsStarted);
+        if (!state.waiting.empty()) {
+            startRead(where, state);
+        }
+    }
+}
+
+void partition_log::onAppendFailed(partition_state &state, failure reason, time_point now)
+{
+    auto failed = std::exchange(state.inFlight, {});
+    if (reason == failure::Rejected) {
+        std::ranges::for_each(failed, [this](const pending_append &entry) {
+            m_outputs.emplace_back(ticket_result{.ticket = entry.ticket});
+        });
+        return;
+    }
+    state.queued.insert(state.queued.begin(), std::make_move_iterator(failed.begin()),
+                        std::make_move_iterator(failed.end()));
+    state.retryAppendAt = now + retryDelay;
+}
+
+void partition_log::onRead(const partition &where, partition_state &state, const records_read &result)
+{
+    const auto readNumber = state.readsStarted;
+    // A reply may begin before or after the requested offset; only what continues the delivered records counts.
+    std::vector<record> fresh;
+    std::ranges::copy_if(result.records, std::back_inserter(fresh),
+                         [&](const record &entry) { return entry.offset >= state.next; });
+    deliver(where, state, std::move(fresh));
+    const bool atEnd = state.next >= result.end;
+    deliverOwn(where, state);
+    reportReached(state, atEnd, readNumber);
+    if (!state.waiting.empty()) {
+        startRead(where, state);
+    }
+}
+
+void partition_log::deliver(const partition &where, partition_state &state, std::vector<record> records)
+{
+    if (records.empty()) {
+        return;
+    }
+    state.next = records.back().offset + 1;
+    std::erase_if(state.ownRecords, [&](const auto &entry) { return entry.first < state.next; });
+    m_outputs.emplace_back(deliver_records{.where = where, .records = std::move(records)});
+}
+
+void partition_log::deliverOwn(const partition &where, partition_state &state)
+{
+    std::vector<record> records;
+    std::uint64_t next = state.next;
+    for (auto found = state.ownRecords.find(next); found != state.ownRecords.end();
+         found = state.ownRecords.find(next)) {
+        records.push_back({.offset = next, .key = {}, .value = found->second});
+        ++next;
+    }
+    deliver(where, state, std::move(records));
+}
+
+void partition_log::reportReached(partition_state &state, bool atEnd, std::uint64_t readNumber)
+{
+    std::erase_if(state.waiting, [&](const waiting_read &entry) {
+        const bool reached = entry.toEnd ? atEnd && readNumber > entry.afterRead : entry.offset < state.next;
+        if (reached) {
+            m_outputs.emplace_back(ticket_result{.ticket = entry.ticket, .done = true, .offset = entry.offset});
+        }
+        return reached;
+    });
+}
+
+void partition_log::dropExpired(partition_state &state, time_point now)
+{
+    const auto giveUp = [&](const auto &entry) {
+        if (entry.deadline > now) {
+            return false;
+        }
+        m_outputs.emplace_back(ticket_result{.ticket = entry.ticket});
+        return true;
+    };
+    std::erase_if(state.queued, giveUp);
+    std::erase_if(state.waiting, giveUp);
+}
+
+bool partition_log::idle(const partition_state &state)
+{
+    return state.queued.empty() && state.inFlight.empty() && state.waiting.empty() && !state.readCall.has_value()
+        && !state.appendCall.has_value();
+}
+
+void partition_log::tick(time_point now)
+{
+    const std::set<partition> active = m_active;
+    for (const auto &where : active) {
+        auto &state = m_partitions[where];
+        dropExpired(state, now);
+        if (state.retryAppendAt.has_value() && *state.retryAppendAt <= now) {
+            state.retryAppendAt.reset();
+            startAppend(where, state);
+        }
+        if (state.retryReadAt.has_value() && *state.retryReadAt <= now) {
+            state.retryReadAt.reset();
+            if (!state.waiting.empty() || !state.inFlight.empty()) {
+                startRead(where, state);
+            }
+        }
+        if (idle(state) && !state.retryAppendAt.has_value() && !state.retryReadAt.has_value()) {
+            m_active.erase(where);
+        }
+    }
+}
+
+std::optional<time_point> partition_log::nextDeadline() const
+{
+    std::optional<time_point> earliest;
+    const auto consider = [&earliest](time_point when) {
+        earliest = earliest.has_value() ? std::min(*earliest, when) : when;
+    };
+    for (const auto &where : m_active) {
+        const auto &state = m_partitions.at(where);
+        std::ranges::for_each(state.queued, consider, &pending_append::deadline);
+        std::ranges::for_each(state.waiting, consider, &waiting_read::deadline);
+        if (state.retryAppendAt.has_value()) {
+            consider(*state.retryAppendAt);
+        }
+        if (state.retryReadAt.has_value()) {
+            consider(*state.retryReadAt);
+        }
+    }
+    return earliest;
+}
+
+std::vector<log_output> partition_log::takeOutputs()
+{
+    return std::exchange(m_outputs, {});
+}
+
+} // namespace jackdawpick::store
--- /dev/null
+++ b/src/store/partition_log_test.cc
@@ -0,0 +1,231 @@
+#include "store/partition_log.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <random>
+
+namespace jackdawpick::store
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+const partition where{"programs-0", 3};
+
+// The platform's log for one partition: calls can be executed without a reply, later, or not at all.
+struct fake_partition
+{
+    std::vector<std::string> records;
+    std::uint64_t first = 0;
+
+    reply execute(const call &what)
+    {
+        if (const auto *add = std::get_if<append_call>(&what)) {
+            const auto offset = records.size();
+            records.insert(records.end(), add->records.begin(), add->records.end());
+            return appended{offset};
+        }
+        const auto &read = std::get<read_call>(what);
+        if (read.from < first) {
+            return expired{first};
+        }
+        records_read result{.end = records.size()};
+        for (auto offset = read.from; offset < records.size(); ++offset) {
+            result.records.push_back({.offset = offset, .key = {}, .value = records[offset]});
+        }
+        return result;
+    }
+};
+
+class partition_log_test : public ::testing::Test
+{
+protected:
+    void collect()
+    {
+        for (auto &output : log.takeOutputs()) {
+            if (auto *started = std::get_if<start_call>(&output)) {
+                calls.push_back(*started);
+            } else if (auto *records = std::get_if<deliver_records>(&output)) {
+                delivered.insert(delivered.end(), records->records.begin(), records->records.end());
+            } else {
+                results.push_back(std::get<ticket_result>(output));
+            }
+        }
+    }
+
+    void answer(std::size_t index)
+    {
+        const start_call next = calls.at(index);
+        calls.erase(calls.begin() + static_cast<std::ptrdiff_t>(index));
+        log.onReply(next.id, store.execute(next.what), clock.now());
+        collect();
+    }
+
+    void answerAll()
+    {
+        collect();
+        while (!calls.empty()) {
+            answer(0);
+        }
+    }
+
+    [[nodiscard]] bool done(ticket_id ticket) const
+    {
+        return std::ranges::any_of(results,
+                                   [&](const ticket_result &entry) { return entry.ticket == ticket && entry.done; });
+    }
+
+    manual_clock clock;
+    partition_log log;
+    fake_partition store;
+    std::vector<start_call> calls;
+    std::vector<record> delivered;
+    std::vector<ticket_result> results;
+};
+
+} // namespace
+
+// Guards against a decision that misses records which another daemon appended before the own one.
+TEST_F(partition_log_test, AppendThatIsFollowedDeliversEverythingBeforeIt)
+{
+    store.records = {"a", "b"};
+    const auto ticket = log.append(where, "own", follow::UntilRead, clock.now() + 1s);
+    collect();
+    ASSERT_EQ(calls.size(), 2U); // The append and the read beside it.
+    answer(1); // The read ends before the append is executed.
+    store.records.emplace_back("late"); // Comes between the read and the append.
+    answer(0);
+    EXPECT_FALSE(done(ticket));
+    answerAll();
+    EXPECT_TRUE(done(ticket));
+    ASSERT_EQ(delivered.size(), 4U);
+    EXPECT_EQ(delivered[2].value, "late");
+    EXPECT_EQ(delivered[3].value, "own");
+}
+
+// Guards against a second read, which is paid for, when the first one shows that nothing came between.
+TEST_F(partition_log_test, OwnRecordNeedsNoSecondRead)
+{
+    store.records = {"a"};
+    const auto ticket = log.append(where, "own", follow::UntilRead, clock.now() + 1s);
+    collect();
+    answer(1);
+    answer(0);
+    EXPECT_TRUE(done(ticket));
+    EXPECT_TRUE(calls.empty());
+    EXPECT_EQ(delivered.size(), 2U);
+}
+
+// Guards against a turn that is called unknown because a read that had begun earlier ended at the old end.
+TEST_F(partition_log_test, CatchUpNeedsAReadThatBeganLater)
+{
+    log.catchUp(where, clock.now() + 1s);
+    collect();
+    const auto early = calls.at(0);
+    const auto stale = store.execute(early.what);
+    store.records.emplace_back("new");
+    const auto ticket = log.catchUp(where, clock.now() + 1s);
+    calls.clear();
+    log.onReply(early.id, stale, clock.now());
+    collect();
+    EXPECT_FALSE(done(ticket));
+    answerAll();
+    EXPECT_TRUE(done(ticket));
+    ASSERT_EQ(delivered.size(), 1U);
+}
+
+// Guards against an append that is lost with its reply.
+TEST_F(partition_log_test, AppendWithoutReplyIsSentAgain)
+{
+    const auto ticket = log.append(where, "own", follow::UntilAppended, clock.now() + 1s);
+    collect();
+    log.onReply(calls.at(0).id, failure::NoReply, clock.now());
+    calls.clear();
+    clock.advance(partition_log::retryDelay);
+    log.tick(clock.now());
+    answerAll();
+    EXPECT_TRUE(done(ticket));
+}
+
+// Guards against callers that wait for a store that stays away.
+TEST_F(partition_log_test, DeadlineEndsAppendsAndReads)
+{
+    const auto added = log.append(where, "own", follow::UntilRead, clock.now() + 100ms);
+    const auto read = log.catchUp(where, clock.now() + 100ms);
+    collect();
+    for (const auto &open : std::exchange(calls, {})) {
+        log.onReply(open.id, failure::Refused, clock.now());
+    }
+    clock.advance(100ms);
+    log.tick(clock.now());
+    collect();
+    ASSERT_EQ(results.size(), 2U);
+    EXPECT_TRUE(std::ranges::none_of(results, &ticket_result::done));
+    EXPECT_FALSE(done(added));
+    EXPECT_FALSE(done(read));
+}
+
+// Guards against a partition that can never be read again once its oldest records have expired.
+TEST_F(partition_log_test, ReadContinuesAfterExpiredRecords)
+{
+    store.records = {"a", "b", "c"};
+    store.first = 2;
+    const auto ticket = log.catchUp(where, clock.now() + 1s);
+    answerAll();
+    EXPECT_TRUE(done(ticket));
+    ASSERT_EQ(delivered.size(), 1U);
+    EXPECT_EQ(delivered[0].offset, 2U);
+}
+
+// Guards against records that are delivered twice, out of order or not at all under any order of replies.
+TEST_F(partition_log_test, EachRecordIsDeliveredOnceInOrder)
+{
+    for (unsigned seed = 1; seed <= 200; ++seed) {
+        SCOPED_TRACE(seed);
+        log = {};
+        store = {};
+        calls.clear();
+        delivered.clear();
+        results.clear();
+        std::mt19937 random(seed);
+        std::size_t tickets = 0;
+        for (int step = 0; step < 60; ++step) {
+            const auto choice = random() % 6;
+            if (choice == 0) {
+                log.append(where, "own", follow::UntilRead, clock.now() + 1h);
+                ++tickets;
+            } else if (choice == 1) {
+                log.catchUp(where, clock.now() + 1h);
+                ++tickets;
+            } else if (choice == 2) {
+                store.records.emplace_back("other");
+            } else if (choice == 3 && !calls.empty()) {
+                const auto lost = calls.at(random() % calls.size());
+                std::erase_if(calls, [&](const start_call &entry) { return entry.id == lost.id; });
+                if (random() % 2 == 0) {
+                    store.execute(lost.what);
+                }
+                log.onReply(lost.id, failure::NoReply, clock.now());
+            } else if (!calls.empty()) {
+                answer(random() % calls.size());
+            }
+            clock.advance(20ms);
+            log.tick(clock.now());
+            collect();
+        }
+        while (results.size() < tickets) {
+            clock.advance(50ms);
+            log.tick(clock.now());
+            answerAll();
+        }
+        EXPECT_TRUE(std::ranges::all_of(results, &ticket_result::done));
+        for (std::size_t i = 0; i < delivered.size(); ++i) {
+            ASSERT_EQ(delivered[i].offset, i);
+            ASSERT_EQ(delivered[i].value, store.records[i]);
+        }
+    }
+}
+
+} // namespace jackdawpick::store
--- /dev/null
+++ b/src/store/store.cc
@@ -0,0 +1,26 @@
+#include "store/store.h"
+
+#include <array>
+
+namespace jackdawpick::store
+{
+
+namespace
+{
+
+constexpr std::array<std::string_view, 3> failureNames{"no_reply", "refused", "rejected"};
+constexpr std::array<std::string_view, 2> pathNames{"direct", "relay"};
+
+} // namespace
+
+std::string_view nameOf(failure value)
+{
+    return failureNames.at(static_cast<std::size_t>(value));
+}
+
+std::string_view nameOf(path value)
+{
+    return pathNames.at(static_cast<std::size_t>(value));
+}
+
+} // namespace jackdawpick::store
--- a/src/wire/wire.cc
+++ b/src/wire/wire.cc
@@ -13,7 +13,6 @@
 namespace fb = wire_fb;
 using builder = flatbuffers::FlatBufferBuilder;
 
-constexpr std::size_t lengthBytes = 4;
 constexpr std::size_t initialBytes = 256;
 
 constexpr unsigned halfBits = 32;
@@ -105,13 +104,6 @@
     }
 };
 
-void appendLength(std::string &out, std::uint32_t length)
-{
-    for (std::size_t i = 0; i < lengthBytes; ++i) {
-        out += static_cast<char>(length >> (8 * i) & 0xffU);
-    }
-}
-
 // ---- Decoding ----
 
 std::string unpack(const flatbuffers::String *text)
@@ -206,42 +198,18 @@
     message_packer packer{out};
     std::visit(packer, message);
     out.Finish(fb::CreateEnvelope(out, packer.type, packer.offset));
-    if (out.GetSize() > maxFrameBytes) {
-        throw error(result_code::RequestTooLarge, fmt::format("peer message exceeds {} bytes", maxFrameBytes));
-    }
-    std::string frame;
-    frame.reserve(lengthBytes + out.GetSize());
-    appendLength(frame, out.GetSize());
-    frame.append(reinterpret_cast<const char *>(out.GetBufferPointer()), out.GetSize());
-    return frame;
+    return framing::encodeFrame({reinterpret_cast<const char *>(out.GetBufferPointer()), out.GetSize()});
 }
 
 void frame_reader::append(std::string_view bytes)
 {
-    m_buffer.append(bytes);
+    m_frames.append(bytes);
 }
 
 std::optional<peer_message> frame_reader::next()
 {
-    const std::string_view rest = std::string_view(m_buffer).substr(m_position);
-    if (rest.size() < lengthBytes) {
-        return std::nullopt;
-    }
-    std::uint32_t length = 0;
-    for (std::size_t i = 0; i < lengthBytes; ++i) {
-        length |= static_cast<std::uint32_t>(static_cast<unsigned char>(rest[i])) << (8 * i);
-    }
-    if (length > maxFrameBytes) {
-        refuse(fmt::format("peer frame of {} bytes exceeds {}", length, maxFrameBytes));
-    }
-    if (rest.size() - lengthBytes < length) {
-        m_buffer.erase(0, m_position);
-        m_position = 0;
-        return std::nullopt;
-    }
-    auto message = decode(rest.substr(lengthBytes, length));
-    m_position += lengthBytes + length;
-    return message;
+    const auto payload = m_frames.next();
+    return payload.has_value() ? std::optional(decode(*payload)) : std::nullopt;
 }
 
 } // namespace jackdawpick
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -7,6 +7,7 @@
 //   reader.append(bytes);
 //   while (auto message = reader.next()) { ... }   // throws error(MalformedRequest) on garbage or another version
 
+#include "framing/framing.h"
 #include "membership/membership.h"
 #include "model/model.h"
 
@@ -14,7 +15,7 @@
 {
 
 inline constexpr std::uint32_t protocolVersion = 1;
-inline constexpr std::size_t maxFrameBytes = 16U << 20U;
+inline constexpr std::size_t maxFrameBytes = framing::maxPayloadBytes;
 
 struct hello
 {
@@ -90,8 +91,7 @@
     [[nodiscard]] std::optional<peer_message> next();
 
 private:
-    std::string m_buffer;
-    std::size_t m_position = 0; // Start of the next frame.
+    framing::frame_cutter m_frames;
 };
 
 } // namespace jackdawpick
