Test several gateways with store, endpoints and callers in virtual time; end a busy loop during shutdown

Cause: while a daemon waited for its last requests, its next wake-up lay in the past, so the loop woke again and again and took the whole processor. Found by gateway_test, which did not end. Change: nextShutdownStep() names only steps that are still to come. gateway_world plays gateways, peer links, a store with faults, endpoints and callers in virtual time; gateway_test has a case for each promise (chains, budgets, at most once, true refusals, store outages, relays, configuration order, drains, shutdown, directory).

--- /dev/null
+++ b/src/gateway/gateway_test.cc
@@ -0,0 +1,363 @@
+#include "gateway/testing/gateway_world.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+namespace jackdawpick::gateway::testing
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+std::string outputOf(const std::string &attempt, int events = 3)
+{
+    std::string text;
+    for (int i = 1; i <= events; ++i) {
+        text += fmt::format("{}-{}\n", attempt, i);
+    }
+    return text;
+}
+
+void leaveAway(gateway_world &world, int daemons, bool away)
+{
+    for (int i = 0; i < daemons; ++i) {
+        world.stores[i].away = away;
+    }
+}
+
+} // namespace
+
+// Guards against a chain that reaches the engine incomplete, in another order or from another branch.
+TEST(Turns, ChainIsRebuiltOnAnyDaemon)
+{
+    gateway_world world({.daemons = 3});
+    world.settle();
+    auto &first = world.ask(0, turnOf("p", "a"));
+    world.runFor(1s);
+    ASSERT_TRUE(first.complete);
+    EXPECT_EQ(first.status, 200);
+    auto &second = world.ask(1, turnOf("p", "b", 1000, "a"));
+    auto &branch = world.ask(2, turnOf("p", "c", 1000, "a"));
+    world.runFor(1s);
+    ASSERT_TRUE(second.complete && branch.complete);
+    auto &third = world.ask(2, turnOf("other", "d", 1000, "b"));
+    world.runFor(1s);
+    ASSERT_TRUE(third.complete);
+    const auto chain = "in:a\n" + outputOf("a") + "in:b\n";
+    ASSERT_EQ(world.runs.size(), 4U);
+    EXPECT_EQ(world.runs.back().body, chain + outputOf("b") + "in:d\n");
+    const auto ofBranch = std::ranges::find(world.runs, "c", &run_at_endpoint::attempt);
+    EXPECT_EQ(ofBranch->body, "in:a\n" + outputOf("a") + "in:c\n");
+}
+
+// Guards against a turn that is unknown because every process died right after the end of its answer.
+TEST(Turns, SurviveTheLossOfAllDaemons)
+{
+    gateway_world world({.daemons = 2});
+    world.settle();
+    auto &first = world.ask(0, turnOf("p", "a"));
+    while (!first.ended()) {
+        world.runFor(1ms);
+    }
+    ASSERT_TRUE(first.complete);
+    world.kill(0);
+    world.kill(1);
+    world.start(0);
+    world.start(1);
+    world.settle();
+    auto &second = world.ask(1, turnOf("p", "b", 1000, "a"));
+    world.runFor(1s);
+    EXPECT_EQ(second.status, 200);
+    EXPECT_EQ(world.runs.back().body, "in:a\n" + outputOf("a") + "in:b\n");
+}
+
+// Guards against 404 without certainty: the store could not be read.
+TEST(Turns, UnknownTurnIsOnlyDeniedAfterARead)
+{
+    gateway_world world({.daemons = 1});
+    world.settle();
+    auto &unknown = world.ask(0, turnOf("p", "b", 1000, "never"));
+    world.runFor(1s);
+    EXPECT_EQ(unknown.status, 404);
+    leaveAway(world, 1, true);
+    auto &uncertain = world.ask(0, turnOf("p", "c", 1000, "never"));
+    world.runFor(3s);
+    EXPECT_EQ(uncertain.status, 503);
+    EXPECT_EQ(world.runsOf("b") + world.runsOf("c"), 0);
+}
+
+// Guards against the end of an answer whose turn is not in the store: it would be unknown after a crash.
+TEST(Turns, EndWaitsForTheStore)
+{
+    gateway_world world({.daemons = 1});
+    world.settle();
+    auto &answer = world.ask(0, turnOf("p", "a"));
+    world.runFor(40ms);
+    leaveAway(world, 1, true);
+    world.runFor(500ms);
+    EXPECT_FALSE(answer.ended());
+    EXPECT_NE(answer.body.find("a-3"), std::string::npos); // All events are passed on at once.
+    leaveAway(world, 1, false);
+    world.runFor(1300ms);
+    EXPECT_TRUE(answer.complete);
+}
+
+// Guards against a stream that looks complete although its turn could not be written.
+TEST(Turns, UnwrittenTurnBreaksTheAnswerOff)
+{
+    gateway_world world({.daemons = 1});
+    world.settle();
+    auto &answer = world.ask(0, turnOf("p", "a"));
+    world.runFor(40ms);
+    leaveAway(world, 1, true);
+    world.runFor(4s);
+    EXPECT_TRUE(answer.aborted);
+    EXPECT_FALSE(answer.complete);
+}
+
+// Guards against programs that generate more than their budget through several daemons at once.
+TEST(Budgets, HoldOverParallelTurnsAndRestarts)
+{
+    gateway_world world({.daemons = 3});
+    world.settle();
+    std::vector<caller_view *> views;
+    for (int i = 0; i < 9; ++i) {
+        views.push_back(&world.ask(i % 3, turnOf("p", fmt::format("a{}", i), 200))); // Room for three of 60 tokens.
+    }
+    world.runFor(2s);
+    const auto granted = std::ranges::count(views, 200, &caller_view::status);
+    const auto denied = std::ranges::count(views, 402, &caller_view::status);
+    EXPECT_EQ(granted, 3);
+    EXPECT_EQ(denied, 6);
+    EXPECT_EQ(world.runs.size(), 3U);
+    world.kill(0);
+    world.kill(1);
+    world.kill(2);
+    world.start(0);
+    world.settle();
+    // 90 of 200 tokens are spent: room for one more turn at a time, and for 60 at most.
+    auto &fourth = world.ask(0, turnOf("p", "b", 200));
+    world.runFor(1s);
+    EXPECT_EQ(fourth.status, 200);
+    auto &fifth = world.ask(0, turnOf("p", "c", 200));
+    world.runFor(1s);
+    EXPECT_EQ(fifth.status, 200); // 120 spent.
+    auto &sixth = world.ask(0, turnOf("p", "d", 200));
+    world.runFor(1s);
+    EXPECT_EQ(sixth.status, 402); // 150 spent.
+}
+
+// Guards against a broken answer whose events are not counted.
+TEST(Budgets, CountWhatWasHandedOverBeforeABreak)
+{
+    gateway_world world({.daemons = 1, .engines = 1, .eventsPerTurn = 4});
+    world.settle();
+    world.endpoints["engine-0"] = endpoint_mood::BreaksOff;
+    auto &broken = world.ask(0, turnOf("p", "a", 80));
+    world.runFor(1s);
+    EXPECT_TRUE(broken.aborted); // After 2 events, 20 tokens.
+    world.endpoints.clear();
+    auto &next = world.ask(0, turnOf("p", "b", 80));
+    world.runFor(1s);
+    EXPECT_EQ(next.status, 200); // 20 + 60 fit; afterwards 60 are spent.
+    auto &last = world.ask(0, turnOf("p", "c", 80));
+    world.runFor(1s);
+    EXPECT_EQ(last.status, 402);
+}
+
+// Guards against a payment that runs twice, and against a promise that it has not run.
+TEST(Repetition, NonIdempotentRequestRunsAtMostOnce)
+{
+    for (const auto mood : {endpoint_mood::LosesAnswer, endpoint_mood::BreaksOff, endpoint_mood::Silent}) {
+        gateway_world world({.daemons = 1});
+        world.settle();
+        world.endpoints["shop-0"] = mood;
+        world.endpoints["shop-1"] = mood;
+        auto &answer = world.ask(0, shopCall("/pay/1", "a"));
+        world.runFor(4s);
+        EXPECT_EQ(world.runsOf("a"), 1);
+        EXPECT_TRUE(answer.ended());
+        EXPECT_NE(answer.status, 503);
+        EXPECT_FALSE(answer.complete && answer.status == 200);
+    }
+}
+
+// Guards against payments that are given up although no endpoint has run them.
+TEST(Repetition, RejectedRequestIsOfferedToAnotherEndpoint)
+{
+    for (const auto mood : {endpoint_mood::Rejects, endpoint_mood::Unreachable}) {
+        gateway_world world({.daemons = 1});
+        world.settle();
+        world.endpoints["shop-0"] = mood;
+        for (int i = 0; i < 6; ++i) {
+            auto &answer = world.ask(0, shopCall("/pay/1", fmt::format("a{}", i)));
+            world.runFor(500ms);
+            EXPECT_EQ(answer.status, 200);
+            EXPECT_EQ(answer.body, fmt::format("done:a{}", i));
+        }
+        world.endpoints["shop-1"] = mood;
+        auto &refused = world.ask(0, shopCall("/pay/1", "b"));
+        world.runFor(500ms);
+        EXPECT_EQ(refused.status, 503);
+        EXPECT_TRUE(refused.retryAfter.has_value());
+        EXPECT_EQ(world.runsOf("b"), 0);
+    }
+}
+
+// Guards against reads that fail although another endpoint could answer them.
+TEST(Repetition, IdempotentRequestMovesToAnotherEndpoint)
+{
+    for (const auto mood : {endpoint_mood::LosesAnswer, endpoint_mood::BreaksOff}) {
+        gateway_world world({.daemons = 1});
+        world.settle();
+        world.endpoints["shop-0"] = mood;
+        for (int i = 0; i < 6; ++i) {
+            auto &answer = world.ask(0, shopCall("/read/1", fmt::format("a{}", i)));
+            world.runFor(500ms);
+            EXPECT_EQ(answer.status, 200);
+            EXPECT_EQ(answer.body, fmt::format("done:a{}", i));
+        }
+    }
+}
+
+// Guards against engines that go on for a caller who has left.
+TEST(Callers, ThatLeaveCancelTheirWork)
+{
+    gateway_world world({.daemons = 1});
+    world.settle();
+    const auto &view = world.ask(0, turnOf("p", "a"));
+    world.runFor(40ms);
+    ASSERT_EQ(world.runsOf("a"), 1);
+    world.leave(view);
+    EXPECT_EQ(world.cancelled, std::vector<std::string>{"a"});
+    EXPECT_EQ(world.core(0).openCalls(), 0U);
+}
+
+// Guards against requests that are kept past the time that the operator allows.
+TEST(Callers, GetAnAnswerAtTheDeadline)
+{
+    gateway_world world({.daemons = 1});
+    world.settle();
+    world.endpoints["engine-0"] = endpoint_mood::Silent;
+    world.endpoints["engine-1"] = endpoint_mood::Silent;
+    const auto began = world.now();
+    auto &view = world.ask(0, turnOf("p", "a"));
+    world.runFor(5s);
+    EXPECT_EQ(view.status, 504);
+    EXPECT_LE(view.endedAt - began, 3250ms);
+}
+
+// Guards against a daemon that refuses everything because the store turns it away while it serves its peers.
+TEST(Store, DaemonThatIsTurnedAwayGoesThroughAPeer)
+{
+    for (const bool refuses : {true, false}) {
+        gateway_world world({.daemons = 3});
+        world.settle();
+        world.stores[0].refuses = refuses;
+        world.stores[0].away = !refuses;
+        world.runFor(3s);
+        auto &answer = world.ask(0, turnOf("p", "a"));
+        world.runFor(2s);
+        EXPECT_EQ(answer.status, 200);
+        EXPECT_TRUE(answer.complete);
+        auto next = world.ask(0, turnOf("p", "b", 1000, "a"));
+        auto changed = routing::configuration{.version = 5, .routes = {}, .services = {}};
+        world.publish(changed);
+        world.runFor(2s);
+        auto &dropped = world.ask(0, shopCall("/read/1", "c"));
+        world.runFor(500ms);
+        EXPECT_EQ(dropped.status, 404); // The new configuration is in force.
+    }
+}
+
+// Guards against turns that wait for a store that is known to be away, and against a refusal without a time.
+TEST(Store, TurnsAreRefusedAtOnceWhileItIsAway)
+{
+    gateway_world world({.daemons = 2});
+    world.settle();
+    leaveAway(world, 2, true);
+    world.runFor(4s);
+    const auto began = world.now();
+    auto &refused = world.ask(0, turnOf("p", "a"));
+    auto &served = world.ask(0, shopCall("/pay/1", "b")); // Needs no store.
+    world.runFor(200ms);
+    EXPECT_EQ(refused.status, 503);
+    EXPECT_TRUE(refused.retryAfter.has_value());
+    EXPECT_LE(refused.endedAt - began, 50ms);
+    EXPECT_EQ(served.status, 200);
+    leaveAway(world, 2, false);
+    world.runFor(2s);
+    auto &again = world.ask(0, turnOf("p", "c"));
+    world.runFor(1s);
+    EXPECT_EQ(again.status, 200);
+}
+
+// Guards against an older configuration that comes back, and against requests before there is one.
+TEST(Configuration, VersionsOnlyIncrease)
+{
+    gateway_world world({.daemons = 1});
+    world.runFor(1ms);
+    auto &early = world.ask(0, shopCall("/read/1", "a"));
+    world.runFor(3s);
+    EXPECT_EQ(early.status, 503); // Not 404: nothing is known yet.
+    world.publish({.version = 9, .routes = {}, .services = {}});
+    world.runFor(2s);
+    world.publish({.version = 8,
+                   .routes = {{.name = "r", .host = "h", .pathPrefix = "/read/", .services = {{"shop", 1}}}},
+                   .services = {}});
+    world.runFor(2s);
+    auto &late = world.ask(0, shopCall("/read/1", "b"));
+    world.runFor(500ms);
+    EXPECT_EQ(late.status, 404);
+}
+
+// Guards against new work on endpoints that are leaving, later than two seconds after they said so.
+TEST(Endpoints, ThatLeaveGetNothingAfterTwoSeconds)
+{
+    gateway_world world({.daemons = 1, .shops = 1});
+    world.settle();
+    world.putEndpoint({.id = "shop-0", .service = "shop", .address = "s0", .zone = "z", .slots = 4, .draining = true});
+    world.runFor(1500ms);
+    auto &refused = world.ask(0, shopCall("/read/1", "a"));
+    world.runFor(200ms);
+    EXPECT_EQ(refused.status, 503);
+    EXPECT_EQ(world.runsOf("a"), 0);
+}
+
+// Guards against a shutdown that cuts requests, and against a directory that names a daemon which is going.
+TEST(Shutdown, FinishesRequestsAndLeavesTheDirectory)
+{
+    gateway_world world({.daemons = 3});
+    world.settle();
+    ASSERT_EQ(world.core(1).directory(world.now()).size(), 3U);
+    auto &open = world.ask(0, turnOf("p", "a"));
+    world.runFor(10ms);
+    world.shutdown(0);
+    EXPECT_FALSE(world.core(0).ready());
+    world.runFor(50ms);
+    EXPECT_EQ(world.core(1).directory(world.now()).size(), 2U);
+    auto &late = world.ask(0, turnOf("p", "b")); // From a caller with an old list.
+    world.runFor(10s);
+    EXPECT_TRUE(open.complete);
+    EXPECT_TRUE(late.complete);
+    EXPECT_EQ(late.status, 200);
+    EXPECT_FALSE(world.isRunning(0));
+}
+
+// Guards against a directory that names daemons which are dead.
+TEST(Directory, NamesOnlyDaemonsThatLive)
+{
+    gateway_world world({.daemons = 3});
+    world.settle();
+    world.kill(2);
+    world.runFor(1200ms);
+    EXPECT_EQ(world.core(0).directory(world.now()).size(), 2U);
+    world.start(2);
+    world.settle();
+    EXPECT_EQ(world.core(0).directory(world.now()).size(), 3U);
+}
+
+} // namespace jackdawpick::gateway::testing
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -123,6 +123,7 @@
     void announceSelf(time_point now);
     void tickPeers(time_point now);
     void tickShutdown(time_point now);
+    [[nodiscard]] std::optional<time_point> nextShutdownStep() const;
     [[nodiscard]] peers::beat ownBeat() const;
     void log(log_level level, std::string_view name, std::vector<log_field> fields);
     [[nodiscard]] double random() const;
--- a/src/gateway/platform_state.cc
+++ b/src/gateway/platform_state.cc
@@ -97,11 +97,7 @@
     if (!m_deadlines.empty()) {
         consider(m_deadlines.begin()->first);
     }
-    if (m_shutdownBegan.has_value()) {
-        consider(*m_shutdownBegan + shortestShutdown - idleCloseBefore);
-        consider(*m_shutdownBegan + shortestShutdown);
-        consider(*m_shutdownBegan + m_options.shutdownLimit);
-    }
+    consider(nextShutdownStep());
     return earliest;
 }
 
@@ -434,6 +430,18 @@
     log(log_level::Info, "shutdown_began", {{"open_requests", m_calls.size()}});
 }
 
+// Only steps that are still to come: a time in the past would wake the loop again and again.
+std::optional<time_point> gateway::implementation::nextShutdownStep() const
+{
+    if (!m_shutdownBegan.has_value() || m_stopped) {
+        return std::nullopt;
+    }
+    if (!m_idleClosed) {
+        return *m_shutdownBegan + shortestShutdown - idleCloseBefore;
+    }
+    return *m_shutdownBegan + (m_calls.empty() ? shortestShutdown : m_options.shutdownLimit);
+}
+
 void gateway::implementation::tickShutdown(time_point now)
 {
     if (!m_shutdownBegan.has_value() || m_stopped) {
