--- a/src/peers/internal/peer_messages_generated.h
+++ b/src/peers/internal/peer_messages_generated.h
@@ -38,6 +38,21 @@
 struct StoreReply;
 struct StoreReplyBuilder;
 
+struct BudgetRequest;
+struct BudgetRequestBuilder;
+
+struct BudgetReply;
+struct BudgetReplyBuilder;
+
+struct BudgetUse;
+struct BudgetUseBuilder;
+
+struct TurnRequest;
+struct TurnRequestBuilder;
+
+struct TurnReply;
+struct TurnReplyBuilder;
+
 struct Message;
 struct MessageBuilder;
 
@@ -83,35 +98,38 @@
   Expired = 2,
   NewestPage = 3,
   Failure = 4,
+  Conflict = 5,
   MIN = Appended,
-  MAX = Failure
+  MAX = Conflict
 };
 
-inline const ReplyKind (&EnumValuesReplyKind())[5] {
+inline const ReplyKind (&EnumValuesReplyKind())[6] {
   static const ReplyKind values[] = {
     ReplyKind::Appended,
     ReplyKind::RecordsRead,
     ReplyKind::Expired,
     ReplyKind::NewestPage,
-    ReplyKind::Failure
+    ReplyKind::Failure,
+    ReplyKind::Conflict
   };
   return values;
 }
 
 inline const char * const *EnumNamesReplyKind() {
-  static const char * const names[6] = {
+  static const char * const names[7] = {
     "Appended",
     "RecordsRead",
     "Expired",
     "NewestPage",
     "Failure",
+    "Conflict",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameReplyKind(ReplyKind e) {
-  if (flatbuffers::IsOutRange(e, ReplyKind::Appended, ReplyKind::Failure)) return "";
+  if (flatbuffers::IsOutRange(e, ReplyKind::Appended, ReplyKind::Conflict)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesReplyKind()[index];
 }
@@ -122,35 +140,50 @@
   Beat = 2,
   StoreCall = 3,
   StoreReply = 4,
+  BudgetRequest = 5,
+  BudgetReply = 6,
+  BudgetUse = 7,
+  TurnRequest = 8,
+  TurnReply = 9,
   MIN = NONE,
-  MAX = StoreReply
+  MAX = TurnReply
 };
 
-inline const Body (&EnumValuesBody())[5] {
+inline const Body (&EnumValuesBody())[10] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
     Body::Beat,
     Body::StoreCall,
-    Body::StoreReply
+    Body::StoreReply,
+    Body::BudgetRequest,
+    Body::BudgetReply,
+    Body::BudgetUse,
+    Body::TurnRequest,
+    Body::TurnReply
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[6] = {
+  static const char * const names[11] = {
     "NONE",
     "Hello",
     "Beat",
     "StoreCall",
     "StoreReply",
+    "BudgetRequest",
+    "BudgetReply",
+    "BudgetUse",
+    "TurnRequest",
+    "TurnReply",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::StoreReply)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::TurnReply)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -175,6 +208,26 @@
   static const Body enum_value = Body::StoreReply;
 };
 
+template<> struct BodyTraits<jackdawpick::peers::fbs::BudgetRequest> {
+  static const Body enum_value = Body::BudgetRequest;
+};
+
+template<> struct BodyTraits<jackdawpick::peers::fbs::BudgetReply> {
+  static const Body enum_value = Body::BudgetReply;
+};
+
+template<> struct BodyTraits<jackdawpick::peers::fbs::BudgetUse> {
+  static const Body enum_value = Body::BudgetUse;
+};
+
+template<> struct BodyTraits<jackdawpick::peers::fbs::TurnRequest> {
+  static const Body enum_value = Body::TurnRequest;
+};
+
+template<> struct BodyTraits<jackdawpick::peers::fbs::TurnReply> {
+  static const Body enum_value = Body::TurnReply;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -504,7 +557,8 @@
     VT_WAIT_MS = 16,
     VT_MAX_KILOBYTES = 18,
     VT_KEYED = 20,
-    VT_KEY = 22
+    VT_KEY = 22,
+    VT_CONDITIONAL = 24
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -536,6 +590,9 @@
   const flatbuffers::String *key() const {
     return GetPointer<const flatbuffers::String *>(VT_KEY);
   }
+  bool conditional() const {
+    return GetField<uint8_t>(VT_CONDITIONAL, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -552,6 +609,7 @@
            VerifyField<uint8_t>(verifier, VT_KEYED, 1) &&
            VerifyOffset(verifier, VT_KEY) &&
            verifier.VerifyString(key()) &&
+           VerifyField<uint8_t>(verifier, VT_CONDITIONAL, 1) &&
            verifier.EndTable();
   }
 };
@@ -590,6 +648,9 @@
   void add_key(flatbuffers::Offset<flatbuffers::String> key) {
     fbb_.AddOffset(StoreCall::VT_KEY, key);
   }
+  void add_conditional(bool conditional) {
+    fbb_.AddElement<uint8_t>(StoreCall::VT_CONDITIONAL, static_cast<uint8_t>(conditional), 0);
+  }
   explicit StoreCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -613,7 +674,8 @@
     uint32_t wait_ms = 0,
     uint32_t max_kilobytes = 0,
     bool keyed = false,
-    flatbuffers::Offset<flatbuffers::String> key = 0) {
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    bool conditional = false) {
   StoreCallBuilder builder_(_fbb);
   builder_.add_from(from);
   builder_.add_id(id);
@@ -623,6 +685,7 @@
   builder_.add_records(records);
   builder_.add_part(part);
   builder_.add_topic(topic);
+  builder_.add_conditional(conditional);
   builder_.add_keyed(keyed);
   builder_.add_kind(kind);
   return builder_.Finish();
@@ -639,7 +702,8 @@
     uint32_t wait_ms = 0,
     uint32_t max_kilobytes = 0,
     bool keyed = false,
-    const char *key = nullptr) {
+    const char *key = nullptr,
+    bool conditional = false) {
   auto topic__ = topic ? _fbb.CreateString(topic) : 0;
   auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<jackdawpick::peers::fbs::Bytes>>(*records) : 0;
   auto key__ = key ? _fbb.CreateString(key) : 0;
@@ -654,7 +718,8 @@
       wait_ms,
       max_kilobytes,
       keyed,
-      key__);
+      key__,
+      conditional);
 }
 
 struct Record FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -860,6 +925,431 @@
       records__);
 }
 
+struct BudgetRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef BudgetRequestBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_PROGRAM = 6,
+    VT_ATTEMPT = 8,
+    VT_TOKENS = 10,
+    VT_BUDGET = 12,
+    VT_PREVIOUS_TURN = 14
+  };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
+  const flatbuffers::String *program() const {
+    return GetPointer<const flatbuffers::String *>(VT_PROGRAM);
+  }
+  const flatbuffers::String *attempt() const {
+    return GetPointer<const flatbuffers::String *>(VT_ATTEMPT);
+  }
+  uint32_t tokens() const {
+    return GetField<uint32_t>(VT_TOKENS, 0);
+  }
+  uint32_t budget() const {
+    return GetField<uint32_t>(VT_BUDGET, 0);
+  }
+  const flatbuffers::String *previous_turn() const {
+    return GetPointer<const flatbuffers::String *>(VT_PREVIOUS_TURN);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyOffsetRequired(verifier, VT_PROGRAM) &&
+           verifier.VerifyString(program()) &&
+           VerifyOffsetRequired(verifier, VT_ATTEMPT) &&
+           verifier.VerifyString(attempt()) &&
+           VerifyField<uint32_t>(verifier, VT_TOKENS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_BUDGET, 4) &&
+           VerifyOffsetRequired(verifier, VT_PREVIOUS_TURN) &&
+           verifier.VerifyString(previous_turn()) &&
+           verifier.EndTable();
+  }
+};
+
+struct BudgetRequestBuilder {
+  typedef BudgetRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(BudgetRequest::VT_ID, id, 0);
+  }
+  void add_program(flatbuffers::Offset<flatbuffers::String> program) {
+    fbb_.AddOffset(BudgetRequest::VT_PROGRAM, program);
+  }
+  void add_attempt(flatbuffers::Offset<flatbuffers::String> attempt) {
+    fbb_.AddOffset(BudgetRequest::VT_ATTEMPT, attempt);
+  }
+  void add_tokens(uint32_t tokens) {
+    fbb_.AddElement<uint32_t>(BudgetRequest::VT_TOKENS, tokens, 0);
+  }
+  void add_budget(uint32_t budget) {
+    fbb_.AddElement<uint32_t>(BudgetRequest::VT_BUDGET, budget, 0);
+  }
+  void add_previous_turn(flatbuffers::Offset<flatbuffers::String> previous_turn) {
+    fbb_.AddOffset(BudgetRequest::VT_PREVIOUS_TURN, previous_turn);
+  }
+  explicit BudgetRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<BudgetRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<BudgetRequest>(end);
+    fbb_.Required(o, BudgetRequest::VT_PROGRAM);
+    fbb_.Required(o, BudgetRequest::VT_ATTEMPT);
+    fbb_.Required(o, BudgetRequest::VT_PREVIOUS_TURN);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<BudgetRequest> CreateBudgetRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    flatbuffers::Offset<flatbuffers::String> program = 0,
+    flatbuffers::Offset<flatbuffers::String> attempt = 0,
+    uint32_t tokens = 0,
+    uint32_t budget = 0,
+    flatbuffers::Offset<flatbuffers::String> previous_turn = 0) {
+  BudgetRequestBuilder builder_(_fbb);
+  builder_.add_id(id);
+  builder_.add_previous_turn(previous_turn);
+  builder_.add_budget(budget);
+  builder_.add_tokens(tokens);
+  builder_.add_attempt(attempt);
+  builder_.add_program(program);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<BudgetRequest> CreateBudgetRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    const char *program = nullptr,
+    const char *attempt = nullptr,
+    uint32_t tokens = 0,
+    uint32_t budget = 0,
+    const char *previous_turn = nullptr) {
+  auto program__ = program ? _fbb.CreateString(program) : 0;
+  auto attempt__ = attempt ? _fbb.CreateString(attempt) : 0;
+  auto previous_turn__ = previous_turn ? _fbb.CreateString(previous_turn) : 0;
+  return jackdawpick::peers::fbs::CreateBudgetRequest(
+      _fbb,
+      id,
+      program__,
+      attempt__,
+      tokens,
+      budget,
+      previous_turn__);
+}
+
+struct BudgetReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef BudgetReplyBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_VERDICT = 6,
+    VT_TURN_HOLDER = 8
+  };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
+  uint8_t verdict() const {
+    return GetField<uint8_t>(VT_VERDICT, 0);
+  }
+  const flatbuffers::String *turn_holder() const {
+    return GetPointer<const flatbuffers::String *>(VT_TURN_HOLDER);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyField<uint8_t>(verifier, VT_VERDICT, 1) &&
+           VerifyOffsetRequired(verifier, VT_TURN_HOLDER) &&
+           verifier.VerifyString(turn_holder()) &&
+           verifier.EndTable();
+  }
+};
+
+struct BudgetReplyBuilder {
+  typedef BudgetReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(BudgetReply::VT_ID, id, 0);
+  }
+  void add_verdict(uint8_t verdict) {
+    fbb_.AddElement<uint8_t>(BudgetReply::VT_VERDICT, verdict, 0);
+  }
+  void add_turn_holder(flatbuffers::Offset<flatbuffers::String> turn_holder) {
+    fbb_.AddOffset(BudgetReply::VT_TURN_HOLDER, turn_holder);
+  }
+  explicit BudgetReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<BudgetReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<BudgetReply>(end);
+    fbb_.Required(o, BudgetReply::VT_TURN_HOLDER);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<BudgetReply> CreateBudgetReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    uint8_t verdict = 0,
+    flatbuffers::Offset<flatbuffers::String> turn_holder = 0) {
+  BudgetReplyBuilder builder_(_fbb);
+  builder_.add_id(id);
+  builder_.add_turn_holder(turn_holder);
+  builder_.add_verdict(verdict);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<BudgetReply> CreateBudgetReplyDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    uint8_t verdict = 0,
+    const char *turn_holder = nullptr) {
+  auto turn_holder__ = turn_holder ? _fbb.CreateString(turn_holder) : 0;
+  return jackdawpick::peers::fbs::CreateBudgetReply(
+      _fbb,
+      id,
+      verdict,
+      turn_holder__);
+}
+
+struct BudgetUse FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef BudgetUseBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PROGRAM = 4,
+    VT_ATTEMPT = 6,
+    VT_TOKENS = 8,
+    VT_HOLDS_TURN = 10
+  };
+  const flatbuffers::String *program() const {
+    return GetPointer<const flatbuffers::String *>(VT_PROGRAM);
+  }
+  const flatbuffers::String *attempt() const {
+    return GetPointer<const flatbuffers::String *>(VT_ATTEMPT);
+  }
+  uint32_t tokens() const {
+    return GetField<uint32_t>(VT_TOKENS, 0);
+  }
+  bool holds_turn() const {
+    return GetField<uint8_t>(VT_HOLDS_TURN, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_PROGRAM) &&
+           verifier.VerifyString(program()) &&
+           VerifyOffsetRequired(verifier, VT_ATTEMPT) &&
+           verifier.VerifyString(attempt()) &&
+           VerifyField<uint32_t>(verifier, VT_TOKENS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_HOLDS_TURN, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct BudgetUseBuilder {
+  typedef BudgetUse Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_program(flatbuffers::Offset<flatbuffers::String> program) {
+    fbb_.AddOffset(BudgetUse::VT_PROGRAM, program);
+  }
+  void add_attempt(flatbuffers::Offset<flatbuffers::String> attempt) {
+    fbb_.AddOffset(BudgetUse::VT_ATTEMPT, attempt);
+  }
+  void add_tokens(uint32_t tokens) {
+    fbb_.AddElement<uint32_t>(BudgetUse::VT_TOKENS, tokens, 0);
+  }
+  void add_holds_turn(bool holds_turn) {
+    fbb_.AddElement<uint8_t>(BudgetUse::VT_HOLDS_TURN, static_cast<uint8_t>(holds_turn), 0);
+  }
+  explicit BudgetUseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<BudgetUse> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<BudgetUse>(end);
+    fbb_.Required(o, BudgetUse::VT_PROGRAM);
+    fbb_.Required(o, BudgetUse::VT_ATTEMPT);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<BudgetUse> CreateBudgetUse(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> program = 0,
+    flatbuffers::Offset<flatbuffers::String> attempt = 0,
+    uint32_t tokens = 0,
+    bool holds_turn = false) {
+  BudgetUseBuilder builder_(_fbb);
+  builder_.add_tokens(tokens);
+  builder_.add_attempt(attempt);
+  builder_.add_program(program);
+  builder_.add_holds_turn(holds_turn);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<BudgetUse> CreateBudgetUseDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *program = nullptr,
+    const char *attempt = nullptr,
+    uint32_t tokens = 0,
+    bool holds_turn = false) {
+  auto program__ = program ? _fbb.CreateString(program) : 0;
+  auto attempt__ = attempt ? _fbb.CreateString(attempt) : 0;
+  return jackdawpick::peers::fbs::CreateBudgetUse(
+      _fbb,
+      program__,
+      attempt__,
+      tokens,
+      holds_turn);
+}
+
+struct TurnRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TurnRequestBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_TURN = 6
+  };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
+  const flatbuffers::String *turn() const {
+    return GetPointer<const flatbuffers::String *>(VT_TURN);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyOffsetRequired(verifier, VT_TURN) &&
+           verifier.VerifyString(turn()) &&
+           verifier.EndTable();
+  }
+};
+
+struct TurnRequestBuilder {
+  typedef TurnRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(TurnRequest::VT_ID, id, 0);
+  }
+  void add_turn(flatbuffers::Offset<flatbuffers::String> turn) {
+    fbb_.AddOffset(TurnRequest::VT_TURN, turn);
+  }
+  explicit TurnRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<TurnRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<TurnRequest>(end);
+    fbb_.Required(o, TurnRequest::VT_TURN);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<TurnRequest> CreateTurnRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    flatbuffers::Offset<flatbuffers::String> turn = 0) {
+  TurnRequestBuilder builder_(_fbb);
+  builder_.add_id(id);
+  builder_.add_turn(turn);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<TurnRequest> CreateTurnRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    const char *turn = nullptr) {
+  auto turn__ = turn ? _fbb.CreateString(turn) : 0;
+  return jackdawpick::peers::fbs::CreateTurnRequest(
+      _fbb,
+      id,
+      turn__);
+}
+
+struct TurnReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TurnReplyBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_FOUND = 6,
+    VT_HISTORY = 8
+  };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
+  bool found() const {
+    return GetField<uint8_t>(VT_FOUND, 0) != 0;
+  }
+  const flatbuffers::Vector<uint8_t> *history() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_HISTORY);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyField<uint8_t>(verifier, VT_FOUND, 1) &&
+           VerifyOffsetRequired(verifier, VT_HISTORY) &&
+           verifier.VerifyVector(history()) &&
+           verifier.EndTable();
+  }
+};
+
+struct TurnReplyBuilder {
+  typedef TurnReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(TurnReply::VT_ID, id, 0);
+  }
+  void add_found(bool found) {
+    fbb_.AddElement<uint8_t>(TurnReply::VT_FOUND, static_cast<uint8_t>(found), 0);
+  }
+  void add_history(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> history) {
+    fbb_.AddOffset(TurnReply::VT_HISTORY, history);
+  }
+  explicit TurnReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<TurnReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<TurnReply>(end);
+    fbb_.Required(o, TurnReply::VT_HISTORY);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<TurnReply> CreateTurnReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    bool found = false,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> history = 0) {
+  TurnReplyBuilder builder_(_fbb);
+  builder_.add_id(id);
+  builder_.add_history(history);
+  builder_.add_found(found);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<TurnReply> CreateTurnReplyDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    bool found = false,
+    const std::vector<uint8_t> *history = nullptr) {
+  auto history__ = history ? _fbb.CreateVector<uint8_t>(*history) : 0;
+  return jackdawpick::peers::fbs::CreateTurnReply(
+      _fbb,
+      id,
+      found,
+      history__);
+}
+
 struct Message FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef MessageBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -885,6 +1375,21 @@
   const jackdawpick::peers::fbs::StoreReply *body_as_StoreReply() const {
     return body_type() == jackdawpick::peers::fbs::Body::StoreReply ? static_cast<const jackdawpick::peers::fbs::StoreReply *>(body()) : nullptr;
   }
+  const jackdawpick::peers::fbs::BudgetRequest *body_as_BudgetRequest() const {
+    return body_type() == jackdawpick::peers::fbs::Body::BudgetRequest ? static_cast<const jackdawpick::peers::fbs::BudgetRequest *>(body()) : nullptr;
+  }
+  const jackdawpick::peers::fbs::BudgetReply *body_as_BudgetReply() const {
+    return body_type() == jackdawpick::peers::fbs::Body::BudgetReply ? static_cast<const jackdawpick::peers::fbs::BudgetReply *>(body()) : nullptr;
+  }
+  const jackdawpick::peers::fbs::BudgetUse *body_as_BudgetUse() const {
+    return body_type() == jackdawpick::peers::fbs::Body::BudgetUse ? static_cast<const jackdawpick::peers::fbs::BudgetUse *>(body()) : nullptr;
+  }
+  const jackdawpick::peers::fbs::TurnRequest *body_as_TurnRequest() const {
+    return body_type() == jackdawpick::peers::fbs::Body::TurnRequest ? static_cast<const jackdawpick::peers::fbs::TurnRequest *>(body()) : nullptr;
+  }
+  const jackdawpick::peers::fbs::TurnReply *body_as_TurnReply() const {
+    return body_type() == jackdawpick::peers::fbs::Body::TurnReply ? static_cast<const jackdawpick::peers::fbs::TurnReply *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -910,6 +1415,26 @@
   return body_as_StoreReply();
 }
 
+template<> inline const jackdawpick::peers::fbs::BudgetRequest *Message::body_as<jackdawpick::peers::fbs::BudgetRequest>() const {
+  return body_as_BudgetRequest();
+}
+
+template<> inline const jackdawpick::peers::fbs::BudgetReply *Message::body_as<jackdawpick::peers::fbs::BudgetReply>() const {
+  return body_as_BudgetReply();
+}
+
+template<> inline const jackdawpick::peers::fbs::BudgetUse *Message::body_as<jackdawpick::peers::fbs::BudgetUse>() const {
+  return body_as_BudgetUse();
+}
+
+template<> inline const jackdawpick::peers::fbs::TurnRequest *Message::body_as<jackdawpick::peers::fbs::TurnRequest>() const {
+  return body_as_TurnRequest();
+}
+
+template<> inline const jackdawpick::peers::fbs::TurnReply *Message::body_as<jackdawpick::peers::fbs::TurnReply>() const {
+  return body_as_TurnReply();
+}
+
 struct MessageBuilder {
   typedef Message Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -963,6 +1488,26 @@
       auto ptr = reinterpret_cast<const jackdawpick::peers::fbs::StoreReply *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::BudgetRequest: {
+      auto ptr = reinterpret_cast<const jackdawpick::peers::fbs::BudgetRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::BudgetReply: {
+      auto ptr = reinterpret_cast<const jackdawpick::peers::fbs::BudgetReply *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::BudgetUse: {
+      auto ptr = reinterpret_cast<const jackdawpick::peers::fbs::BudgetUse *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::TurnRequest: {
+      auto ptr = reinterpret_cast<const jackdawpick::peers::fbs::TurnRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::TurnReply: {
+      auto ptr = reinterpret_cast<const jackdawpick::peers::fbs::TurnReply *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/src/peers/peers.cc
+++ b/src/peers/peers.cc
@@ -1,6 +1,7 @@
 #include "peers/peers.h"
 
 #include <algorithm>
+#include <array>
 #include <iterator>
 #include <peer_messages_generated.h>
 
@@ -53,7 +54,7 @@
         });
         const auto list = out.CreateVector(records);
         return fbs::CreateStoreCall(out, id, fbs::CallKind::Append, out.CreateString(what.where.topic),
-                                    what.where.number, list)
+                                    what.where.number, list, what.at.value_or(0), 0, 0, false, 0, what.at.has_value())
             .Union();
     }
 
@@ -110,6 +111,11 @@
         return fbs::CreateStoreReply(out, id, fbs::ReplyKind::Appended, result.offset).Union();
     }
 
+    any_offset operator()(const store::conflict &result) const
+    {
+        return fbs::CreateStoreReply(out, id, fbs::ReplyKind::Conflict, 0, result.end).Union();
+    }
+
     any_offset operator()(const store::records_read &result) const
     {
         const auto records = packRecords(result.records);
@@ -140,6 +146,37 @@
     return std::visit(reply_packer{out, value.id}, value.result);
 }
 
+any_offset pack(builder &out, const budget_request &value)
+{
+    const auto program = out.CreateString(value.program);
+    const auto attempt = out.CreateString(value.attempt);
+    const auto turn = out.CreateString(value.previousTurn);
+    return fbs::CreateBudgetRequest(out, value.id, program, attempt, value.tokens, value.budget, turn).Union();
+}
+
+any_offset pack(builder &out, const budget_reply &value)
+{
+    const auto holder = out.CreateString(value.turnHolder);
+    return fbs::CreateBudgetReply(out, value.id, static_cast<std::uint8_t>(value.verdict), holder).Union();
+}
+
+any_offset pack(builder &out, const budget_use &value)
+{
+    const auto program = out.CreateString(value.program);
+    const auto attempt = out.CreateString(value.attempt);
+    return fbs::CreateBudgetUse(out, program, attempt, value.tokens, value.holdsTurn).Union();
+}
+
+any_offset pack(builder &out, const turn_request &value)
+{
+    return fbs::CreateTurnRequest(out, value.id, out.CreateString(value.turn)).Union();
+}
+
+any_offset pack(builder &out, const turn_reply &value)
+{
+    return fbs::CreateTurnReply(out, value.id, value.found, packBytes(out, value.history)).Union();
+}
+
 // ---- Decoding ----
 
 std::string unpack(const flatbuffers::String *text)
@@ -178,7 +215,9 @@
     const store::partition where{unpack(body.topic()), body.part()};
     switch (body.kind()) {
     case fbs::CallKind::Append:
-        return store_request{body.id(), store::append_call{where, unpackRecords(body)}};
+        return store_request{body.id(),
+                             store::append_call{where, unpackRecords(body),
+                                                body.conditional() ? std::optional(body.from()) : std::nullopt}};
     case fbs::CallKind::Read:
         return store_request{body.id(),
                              store::read_call{.where = where,
@@ -221,6 +260,8 @@
         return store_response{body.id(), store::expired{body.offset()}};
     case fbs::ReplyKind::NewestPage:
         return store_response{body.id(), store::newest_page{unpackRecords(body), body.more(), body.end()}};
+    case fbs::ReplyKind::Conflict:
+        return store_response{body.id(), store::conflict{body.end()}};
     case fbs::ReplyKind::Failure:
         if (body.failure() <= static_cast<std::uint8_t>(store::failure::Rejected)) {
             return store_response{body.id(), static_cast<store::failure>(body.failure())};
@@ -230,8 +271,44 @@
     return std::nullopt;
 }
 
+std::optional<message> unpack(const fbs::BudgetReply &body)
+{
+    if (body.verdict() > static_cast<std::uint8_t>(budget_verdict::Unavailable)) {
+        return std::nullopt;
+    }
+    return budget_reply{body.id(), static_cast<budget_verdict>(body.verdict()), unpack(body.turn_holder())};
+}
+
+std::optional<message> unpackBudgetOrTurn(const fbs::Message &root)
+{
+    if (const auto *body = root.body_as_BudgetRequest()) {
+        return budget_request{body->id(),     unpack(body->program()), unpack(body->attempt()), body->tokens(),
+                              body->budget(), unpack(body->previous_turn())};
+    }
+    if (const auto *body = root.body_as_BudgetReply()) {
+        return unpack(*body);
+    }
+    if (const auto *body = root.body_as_BudgetUse()) {
+        return budget_use{unpack(body->program()), unpack(body->attempt()), body->tokens(), body->holds_turn()};
+    }
+    if (const auto *body = root.body_as_TurnRequest()) {
+        return turn_request{body->id(), unpack(body->turn())};
+    }
+    if (const auto *body = root.body_as_TurnReply()) {
+        return turn_reply{body->id(), body->found(), unpack(body->history())};
+    }
+    return std::nullopt;
+}
+
+constexpr std::array<std::string_view, 3> budgetVerdictNames{"granted", "denied", "unavailable"};
+
 } // namespace
 
+std::string_view nameOf(budget_verdict value)
+{
+    return budgetVerdictNames.at(static_cast<std::size_t>(value));
+}
+
 std::string encodeMessage(const message &value)
 {
     builder out;
@@ -262,7 +339,7 @@
     if (const auto *body = root->body_as_StoreReply()) {
         return unpack(*body);
     }
-    return std::nullopt;
+    return unpackBudgetOrTurn(*root);
 }
 
 } // namespace jackdawpick::peers
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -55,7 +55,61 @@
     bool operator==(const store_response &) const = default;
 };
 
-using message = std::variant<hello, beat, store_request, store_response>;
+enum class budget_verdict : std::uint8_t {
+    Granted,
+    Denied, // The budget does not hold so many tokens.
+    Unavailable, // The budget could not be read or written.
+};
+
+[[nodiscard]] std::string_view nameOf(budget_verdict value);
+
+// Asks the daemon that holds the program's budget for at most `tokens` generated tokens.
+struct budget_request
+{
+    std::uint64_t id = 0; // Chosen by the sender, unique on the link.
+    std::string program;
+    std::string attempt;
+    std::uint32_t tokens = 0;
+    std::uint32_t budget = 0; // Of the whole program.
+    std::string previousTurn; // Empty if the request continues none.
+    bool operator==(const budget_request &) const = default;
+};
+
+struct budget_reply
+{
+    std::uint64_t id = 0;
+    budget_verdict verdict = budget_verdict::Unavailable;
+    std::string turnHolder; // Daemon that has the text of the previous turn; empty if unknown.
+    bool operator==(const budget_reply &) const = default;
+};
+
+// What a request has used of its grant. Not answered.
+struct budget_use
+{
+    std::string program;
+    std::string attempt;
+    std::uint32_t tokens = 0;
+    bool holdsTurn = false; // The sender has the text of the turn.
+    bool operator==(const budget_use &) const = default;
+};
+
+struct turn_request
+{
+    std::uint64_t id = 0; // Chosen by the sender, unique on the link.
+    std::string turn;
+    bool operator==(const turn_request &) const = default;
+};
+
+struct turn_reply
+{
+    std::uint64_t id = 0;
+    bool found = false;
+    std::string history; // Of the chain, the turn included.
+    bool operator==(const turn_reply &) const = default;
+};
+
+using message = std::variant<hello, beat, store_request, store_response, budget_request, budget_reply, budget_use,
+                             turn_request, turn_reply>;
 
 [[nodiscard]] std::string encodeMessage(const message &value);
 // Nothing if the bytes are not a valid message.
--- a/src/peers/peers_test.cc
+++ b/src/peers/peers_test.cc
@@ -16,7 +16,9 @@
     const std::string binary("a\0b", 3);
     return {hello{"n", 42, "z", "1.2.3.4:5", "1.2.3.4:6"},
             beat{.ready = true, .storeReachable = true, .configuration = 9, .loads = {{"e1", 3}, {"e2", 1}}},
-            store_request{1, store::append_call{where, {binary, ""}}},
+            store_request{1, store::append_call{where, {binary, ""}, std::nullopt}},
+            store_request{1, store::append_call{where, {binary}, 0}},
+            store_response{1, store::conflict{12}},
             store_request{2, store::read_call{where, 17, 250ms, 64, true}},
             store_request{3, store::newest_call{where, "after"}},
             store_request{4, store::put_call{where, "key", binary}},
@@ -24,7 +26,12 @@
             store_response{2, store::records_read{12, {{10, "", binary}, {11, "k", ""}}, 12}},
             store_response{3, store::expired{5}},
             store_response{4, store::newest_page{{{1, "k", "v"}}, true, 8}},
-            store_response{5, store::failure::Refused}};
+            store_response{5, store::failure::Refused},
+            budget_request{6, "p", "a", 567, 4536, "t"},
+            budget_reply{6, budget_verdict::Denied, "n"},
+            budget_use{"p", "a", 243, true},
+            turn_request{7, "t"},
+            turn_reply{7, true, binary}};
 }
 
 } // namespace
--- a/src/programs/budget_ledger.cc
+++ b/src/programs/budget_ledger.cc
@@ -45,17 +45,35 @@
     program.usage.spent += value.tokens;
 }
 
-verdict budget_ledger::verdictOn(const std::string &program, const std::string &attempt) const
+const budget_ledger::attempt_state *budget_ledger::find(const std::string &program, const std::string &attempt) const
 {
     const auto state = m_programs.find(program);
     if (state == m_programs.end()) {
-        return verdict::Unknown;
+        return nullptr;
     }
     const auto found = state->second.attempts.find(attempt);
-    if (found == state->second.attempts.end()) {
+    return found == state->second.attempts.end() ? nullptr : &found->second;
+}
+
+verdict budget_ledger::verdictOn(const std::string &program, const std::string &attempt) const
+{
+    const auto *state = find(program, attempt);
+    if (state == nullptr) {
         return verdict::Unknown;
     }
-    return found->second.granted ? verdict::Granted : verdict::Denied;
+    return state->granted ? verdict::Granted : verdict::Denied;
+}
+
+std::uint32_t budget_ledger::tokensOf(const std::string &program, const std::string &attempt) const
+{
+    const auto *state = find(program, attempt);
+    return state != nullptr && (state->granted || state->settled) ? state->tokens : 0;
+}
+
+bool budget_ledger::isSettled(const std::string &program, const std::string &attempt) const
+{
+    const auto *state = find(program, attempt);
+    return state != nullptr && state->settled;
 }
 
 budget_usage budget_ledger::usageOf(const std::string &program) const
--- a/src/programs/programs.h
+++ b/src/programs/programs.h
@@ -2,12 +2,13 @@
 
 // What the durable log keeps of agent programs: token budgets and finished turns.
 //
-// Each program has one partition with its reservations and settlements. Every daemon that reads it comes to the same
-// verdict on each reservation, so no daemon has to own a program.
+// Each program has one partition with its reservations and settlements. One daemon at a time writes there, each append
+// under the condition that the partition ends where that daemon has read it to; so any daemon may take over at any time
+// without asking.
 //
-//   budget_ledger ledger;
-//   ledger.apply(decodeRecord(bytes), clock.now());
-//   if (ledger.verdictOn("program-1", "attempt-7") == verdict::Granted) { ... }
+//   budget_partition budgets({"programs-0", 3});
+//   budgets.ask({.program = "program-1", .attempt = "attempt-7", .tokens = 567, .budget = 4536}, deadline, now);
+//   for (auto &output : budgets.takeOutputs()) { ... }     // budget_verdict, or a store call to be made
 //
 // Each finished turn has one record in the partition of its id, with the whole text of its chain.
 //
@@ -23,6 +24,7 @@
 #include <string_view>
 #include <unordered_map>
 #include <variant>
+#include <vector>
 
 namespace jackdawpick::programs
 {
@@ -81,6 +83,9 @@
     // Records of one partition must come in the order of the log. Turns are ignored.
     void apply(const program_record &value, time_point now);
     [[nodiscard]] verdict verdictOn(const std::string &program, const std::string &attempt) const;
+    // Tokens that the request holds of the budget: reserved, or used once it is settled; 0 if denied or unknown.
+    [[nodiscard]] std::uint32_t tokensOf(const std::string &program, const std::string &attempt) const;
+    [[nodiscard]] bool isSettled(const std::string &program, const std::string &attempt) const;
     [[nodiscard]] budget_usage usageOf(const std::string &program) const;
     void forgetIdle(time_point now);
     [[nodiscard]] std::size_t size() const;
@@ -100,12 +105,110 @@
         time_point lastRecord;
     };
 
+    [[nodiscard]] const attempt_state *find(const std::string &program, const std::string &attempt) const;
     void reserve(program_state &program, const reservation &value);
     static void settle(program_state &program, const settlement &value);
 
     std::unordered_map<std::string, program_state> m_programs;
 };
 
+enum class budget_call_id : std::uint64_t {};
+
+struct start_budget_call
+{
+    budget_call_id id{};
+    store::call what;
+};
+
+enum class budget_answer : std::uint8_t {
+    Granted,
+    Denied, // The budget does not hold so many tokens.
+    Unavailable, // The partition could not be read or written in time.
+};
+
+[[nodiscard]] std::string_view nameOf(budget_answer value);
+
+struct budget_verdict
+{
+    reservation asked;
+    budget_answer answer = budget_answer::Unavailable;
+    budget_usage usage; // Of the program, as it decided.
+};
+
+using budget_output = std::variant<start_budget_call, budget_verdict>;
+
+// The budgets of all programs of one partition, as the daemon decides on them that writes there.
+//
+// A request is granted once its reservation is written, so that no crash loses one. Reservations that come while an append
+// is under way are appended together; settlements wait for the next reservation, or a little while.
+class budget_partition
+{
+public:
+    // Settlements wait so long for a reservation, to be appended with it.
+    static constexpr std::chrono::milliseconds groupingTime{500};
+    static constexpr std::chrono::milliseconds retryDelay{40};
+    // A denial needs a view of the partition that is no older than this.
+    static constexpr std::chrono::milliseconds freshFor{300};
+
+    explicit budget_partition(store::partition where);
+
+    // A verdict on the request follows, at the latest at the deadline. A request that was granted before is granted
+    // again.
+    void ask(const reservation &what, time_point deadline, time_point now);
+    // What the request has used in the end; replaces its reservation.
+    void onUsed(const settlement &what, time_point now);
+    void onReply(budget_call_id id, const store::reply &result, time_point now);
+    void tick(time_point now);
+    [[nodiscard]] std::optional<time_point> nextDeadline() const;
+    [[nodiscard]] std::vector<budget_output> takeOutputs();
+    void forgetIdle(time_point now);
+    [[nodiscard]] budget_usage usageOf(const std::string &program) const; // Unwritten records included.
+    [[nodiscard]] bool hasUnwritten() const;
+
+private:
+    // A record on its way into the partition.
+    struct unwritten
+    {
+        program_record record;
+        time_point since;
+        std::optional<time_point> deadline; // Of a reservation, whose verdict waits until it is written.
+    };
+
+    struct question
+    {
+        reservation what;
+        time_point deadline;
+    };
+
+    void decide(const question &entry, time_point now);
+    void answer(const reservation &what, budget_answer verdict);
+    void decideWaiting(time_point now);
+    void startAppend(time_point now);
+    void startRead();
+    void onAppended(const store::appended &result, time_point now);
+    void onRead(const store::records_read &result, time_point now);
+    void dropWritten();
+    void expire(time_point now);
+    [[nodiscard]] bool isWritten(const program_record &record) const;
+    [[nodiscard]] bool isGranted(const reservation &what) const;
+    [[nodiscard]] bool isFresh(time_point now) const;
+    [[nodiscard]] std::optional<time_point> appendDue() const;
+
+    store::partition m_where;
+    budget_ledger m_written;
+    std::uint64_t m_next = 0; // Offset after the last record that was read or written.
+    std::optional<time_point> m_confirmed; // When the view was last known to be complete.
+    std::vector<unwritten> m_unwritten; // In the order in which they are appended.
+    std::size_t m_inFlight = 0; // The first ones of m_unwritten are being appended.
+    std::vector<question> m_waiting; // Until the partition has been read.
+    std::uint64_t m_lastCall = 0;
+    std::optional<budget_call_id> m_append;
+    std::optional<budget_call_id> m_read;
+    bool m_mustRead = true; // Nothing may be appended before the partition has been read.
+    std::optional<time_point> m_retryAt;
+    std::vector<budget_output> m_outputs;
+};
+
 struct turn_location
 {
     store::partition where;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -29,6 +29,7 @@
 {
     partition where;
     std::vector<std::string> records;
+    std::optional<std::uint64_t> at; // Only if the partition ends at this offset.
     bool operator==(const append_call &) const = default;
 };
 
@@ -84,6 +85,13 @@
     bool operator==(const records_read &) const = default;
 };
 
+// The partition does not end where the append expected.
+struct conflict
+{
+    std::uint64_t end = 0;
+    bool operator==(const conflict &) const = default;
+};
+
 // The requested records have expired.
 struct expired
 {
@@ -107,7 +115,7 @@
 
 [[nodiscard]] std::string_view nameOf(failure value);
 
-using reply = std::variant<appended, records_read, expired, newest_page, failure>;
+using reply = std::variant<appended, conflict, records_read, expired, newest_page, failure>;
 
 // How a call reaches the store.
 enum class path : std::uint8_t {
