Counters, gauges and latencies of the gateway on its metrics address

Cause: the metrics address served a state dump only; on-call engineers have logs and metrics and nothing else. Run: gateway_test, metrics_test, pages_test.

--- a/src/gateway/dispatching.cc
+++ b/src/gateway/dispatching.cc
@@ -121,6 +121,7 @@
         m_pool.markLeaving(value.endpoint); // Another endpoint has its address.
     }
     value.tried.insert(value.endpoint);
+    m_out.emplace_back(count_event{metric::EndpointFailures, value.service, "rejected"});
     logCall(log_level::Info, "endpoint_rejected", value, {{"endpoint", value.endpoint}, {"status", head.status}}, now);
     releaseEndpoint(value, fleet::finish::Rejected, now);
     if (value.sends < maxSends) {
@@ -214,7 +215,7 @@
         return;
     }
     m_out.emplace_back(end_answer{value.id});
-    finishCall(value, "answered", now);
+    finishCall(value, internal::answeredOutcome, now);
 }
 
 bool gateway::implementation::mayRunAgain(const call &value, time_point now) const
@@ -226,6 +227,7 @@
 void gateway::implementation::onBrokenAnswer(call &value, dispatch_end how, time_point now)
 {
     const bool notSent = how == dispatch_end::NotSent;
+    m_out.emplace_back(count_event{metric::EndpointFailures, value.service, std::string(nameOf(how))});
     logCall(log_level::Warning, "endpoint_failed", value,
             {{"endpoint", value.endpoint}, {"how", nameOf(how)}, {"send", value.sends}, {"answered", value.answered}},
             now);
--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -4,6 +4,7 @@
 
 #include "fleet/fleet.h"
 #include "logging/logging.h"
+#include "metrics/metrics.h"
 #include "peers/peers.h"
 #include "store/store.h"
 
@@ -214,6 +215,21 @@
     std::vector<log_field> fields;
 };
 
+// Adds one to a counter; `second` is empty for metrics with one label.
+struct count_event
+{
+    metric id{};
+    std::string first;
+    std::string second;
+};
+
+struct observe_time
+{
+    metric id{};
+    std::string label;
+    std::chrono::milliseconds time{0};
+};
+
 // No connection of a caller may wait for another request; those that wait are closed.
 struct close_idle_callers
 {
@@ -226,6 +242,6 @@
 
 using effect = std::variant<begin_answer, answer_bytes, end_answer, abort_answer, refuse, start_dispatch,
                             cancel_dispatch, make_store_call, open_link, send_message, close_link, log_line,
-                            close_idle_callers, stop_process>;
+                            count_event, observe_time, close_idle_callers, stop_process>;
 
 } // namespace jackdawpick::gateway
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -46,9 +46,9 @@
     return m_impl->directory(now);
 }
 
-std::size_t gateway::openCalls() const
+gateway_status gateway::status(time_point now) const
 {
-    return m_impl->openCalls();
+    return m_impl->status(now);
 }
 
 std::string gateway::dump(time_point now) const
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -44,6 +44,16 @@
     std::uint64_t seed = 1;
 };
 
+// Figures for the gauges of a daemon.
+struct gateway_status
+{
+    std::size_t openRequests = 0;
+    std::size_t peersAlive = 0;
+    std::size_t endpointsKnown = 0;
+    bool storeReachable = false;
+    std::uint64_t configuration = 0; // Version in force; 0: none.
+};
+
 class gateway
 {
 public:
@@ -59,7 +69,7 @@
     [[nodiscard]] bool ready() const;
     // Addresses for callers: this daemon and the others that take requests.
     [[nodiscard]] std::vector<std::string> directory(time_point now) const;
-    [[nodiscard]] std::size_t openCalls() const;
+    [[nodiscard]] gateway_status status(time_point now) const;
     // The state as JSON text for operators.
     [[nodiscard]] std::string dump(time_point now) const;
 
--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -233,7 +233,7 @@
     ASSERT_EQ(world.runsOf("a"), 1);
     world.leave(view);
     EXPECT_EQ(world.cancelled, std::vector<std::string>{"a"});
-    EXPECT_EQ(world.core(0).openCalls(), 0U);
+    EXPECT_EQ(world.core(0).status(world.now()).openRequests, 0U);
 }
 
 // Guards against requests that are kept past the time that the operator allows.
--- a/src/gateway/internal/call.h
+++ b/src/gateway/internal/call.h
@@ -12,6 +12,9 @@
 namespace jackdawpick::gateway::internal
 {
 
+// Outcome of a request whose answer was passed on whole.
+inline constexpr std::string_view answeredOutcome = "answered";
+
 enum class call_phase : std::uint8_t {
     Preparing, // Its reservation and history are awaited.
     Dispatched, // An endpoint has it.
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -27,7 +27,7 @@
     [[nodiscard]] std::optional<time_point> nextDeadline() const;
     [[nodiscard]] bool ready() const;
     [[nodiscard]] std::vector<std::string> directory(time_point now) const;
-    [[nodiscard]] std::size_t openCalls() const;
+    [[nodiscard]] gateway_status status(time_point now) const;
     [[nodiscard]] std::string dump(time_point now) const;
 
 private:
--- a/src/gateway/platform_state.cc
+++ b/src/gateway/platform_state.cc
@@ -418,9 +418,13 @@
     return addresses;
 }
 
-std::size_t gateway::implementation::openCalls() const
+gateway_status gateway::implementation::status(time_point now) const
 {
-    return m_calls.size();
+    return {.openRequests = m_calls.size(),
+            .peersAlive = m_peers.alive(now).size(),
+            .endpointsKnown = m_pool.size(),
+            .storeReachable = m_store.paths().directUp(),
+            .configuration = m_table == nullptr ? 0 : m_table->source().version};
 }
 
 void gateway::implementation::on(const shutdown_requested & /*what*/, time_point now)
--- a/src/gateway/requests.cc
+++ b/src/gateway/requests.cc
@@ -106,6 +106,7 @@
          {"status", status},
          {"reason", reason},
          {"configuration", m_table == nullptr ? 0 : m_table->source().version}});
+    m_out.emplace_back(count_event{metric::Requests, "none", std::string(reason)});
     m_out.emplace_back(refuse{what.caller, status, retryAfter, std::string(reason)});
 }
 
@@ -132,6 +133,15 @@
         fields.emplace_back("events", value.eventCount);
     }
     logCall(log_level::Info, "request_finished", value, std::move(fields), now);
+    m_out.emplace_back(count_event{metric::Requests, value.route->name, std::string(outcome)});
+    if (outcome == internal::answeredOutcome) {
+        m_out.emplace_back(
+            observe_time{metric::RequestSeconds, value.route->name, millisecondsBetween(value.arrived, now)});
+    }
+    if (value.firstByteAt.has_value()) {
+        m_out.emplace_back(observe_time{metric::FirstByteSeconds, value.route->name,
+                                        millisecondsBetween(value.arrived, *value.firstByteAt)});
+    }
     if (value.dispatch.has_value()) {
         m_dispatches.erase(*value.dispatch);
     }
--- a/src/gateway/testing/gateway_world.cc
+++ b/src/gateway/testing/gateway_world.cc
@@ -519,6 +519,14 @@
     return found == m_lines.end() ? 0 : found->second;
 }
 
+void gateway_world::on(int /*daemon*/, const count_event & /*what*/)
+{
+}
+
+void gateway_world::on(int /*daemon*/, const observe_time & /*what*/)
+{
+}
+
 void gateway_world::on(int /*daemon*/, const close_idle_callers & /*what*/)
 {
 }
--- a/src/gateway/testing/gateway_world.h
+++ b/src/gateway/testing/gateway_world.h
@@ -157,6 +157,8 @@
     void on(int daemon, const send_message &what);
     void on(int daemon, const close_link &what);
     void on(int daemon, const log_line &what);
+    void on(int daemon, const count_event &what);
+    void on(int daemon, const observe_time &what);
     void on(int daemon, const close_idle_callers &what);
     void on(int daemon, const stop_process &what);
 
--- a/src/gateway/turns.cc
+++ b/src/gateway/turns.cc
@@ -142,7 +142,7 @@
     const auto &turn = value.request.attempt;
     m_turns.add(turn, std::move(value.history), {turnPartition(turn), result.offset}, now);
     m_out.emplace_back(end_answer{value.id});
-    finishCall(value, "answered", now);
+    finishCall(value, internal::answeredOutcome, now);
 }
 
 std::uint32_t gateway::implementation::tokensHandedOver(const call &value) const
--- a/src/gateway_daemon/gateway_daemon.cc
+++ b/src/gateway_daemon/gateway_daemon.cc
@@ -1,6 +1,7 @@
 #include "gateway_daemon/gateway_daemon.h"
 
 #include "gateway_daemon/framed_links.h"
+#include "metrics/metrics.h"
 #include "platform/platform.h"
 #include "results/results.h"
 
@@ -102,6 +103,8 @@
     void listenForService(const std::string &address);
     void listenForMetrics();
     void answer(net::request_id id, const platform::text_answer &what);
+    void setGauges();
+    void countStoreCall(const store::call &call, const store::reply &reply, time_point began);
 
     void run(gateway::begin_answer &what);
     void run(const gateway::answer_bytes &what);
@@ -115,6 +118,8 @@
     void run(const gateway::send_message &what);
     void run(const gateway::close_link &what);
     void run(const gateway::log_line &what);
+    void run(const gateway::count_event &what);
+    void run(const gateway::observe_time &what);
     void run(const gateway::close_idle_callers &what);
     void run(const gateway::stop_process &what);
 
@@ -128,6 +133,7 @@
     gateway_settings m_settings;
     gateway::gateway m_core;
     framed_links m_links;
+    metrics_registry m_metrics;
     std::map<gateway::dispatch_id, net::client_id> m_dispatches;
 };
 
@@ -199,10 +205,27 @@
 void gateway_daemon::implementation::listenForMetrics()
 {
     m_loop.listenHttp(optionsFor(m_settings.metrics, m_settings), [this](const net::http_request &request) {
-        m_loop.respond(request.id, {}, m_core.dump(m_clock.now()));
+        if (request.path == "/dump") {
+            m_loop.respond(request.id, {}, m_core.dump(m_clock.now()));
+            return;
+        }
+        setGauges();
+        m_loop.respond(request.id, {.contentType = "text/plain; version=0.0.4"},
+                       m_metrics.exposition(m_clock.now()));
     });
 }
 
+void gateway_daemon::implementation::setGauges()
+{
+    const auto status = m_core.status(m_clock.now());
+    m_metrics.set(metric::OpenRequests, {}, static_cast<double>(status.openRequests));
+    m_metrics.set(metric::PeersAlive, {}, static_cast<double>(status.peersAlive));
+    m_metrics.set(metric::EndpointsKnown, {}, static_cast<double>(status.endpointsKnown));
+    m_metrics.set(metric::StoreReachable, {}, status.storeReachable ? 1 : 0);
+    m_metrics.set(metric::ConfigurationVersion, {}, static_cast<double>(status.configuration));
+    m_metrics.set(metric::DroppedLogLines, {}, static_cast<double>(logging::droppedLines()));
+}
+
 void gateway_daemon::implementation::answer(net::request_id id, const platform::text_answer &what)
 {
     m_loop.respond(id, what.head, what.body);
@@ -285,11 +308,39 @@
 void gateway_daemon::implementation::run(const gateway::make_store_call &what)
 {
     m_loop.request(platform::encodeStoreCall(m_settings.storeAddress, what.what, what.timeout),
-                   [this, id = what.call, call = what.what](const net::client_result &result) {
-                       feed(gateway::store_replied{id, platform::decodeStoreReply(call, result)});
+                   [this, id = what.call, call = what.what, began = m_clock.now()](const net::client_result &result) {
+                       auto reply = platform::decodeStoreReply(call, result);
+                       countStoreCall(call, reply, began);
+                       feed(gateway::store_replied{id, std::move(reply)});
                    });
 }
 
+void gateway_daemon::implementation::countStoreCall(const store::call &call, const store::reply &reply,
+                                                    time_point began)
+{
+    const auto *reason = std::get_if<store::failure>(&reply);
+    m_metrics.add(metric::StoreCalls, {reason == nullptr ? "served" : store::nameOf(*reason)});
+    if (reason == nullptr) {
+        const std::chrono::duration<double> took = m_clock.now() - began;
+        m_metrics.observe(metric::StoreCallSeconds, {store::nameOf(call)}, took.count(), m_clock.now());
+    }
+}
+
+void gateway_daemon::implementation::run(const gateway::count_event &what)
+{
+    if (what.second.empty()) {
+        m_metrics.add(what.id, {what.first});
+    } else {
+        m_metrics.add(what.id, {what.first, what.second});
+    }
+}
+
+void gateway_daemon::implementation::run(const gateway::observe_time &what)
+{
+    const std::chrono::duration<double> time = what.time;
+    m_metrics.observe(what.id, {what.label}, time.count(), m_clock.now());
+}
+
 void gateway_daemon::implementation::run(const gateway::open_link &what)
 {
     m_links.open(what);
--- a/src/metrics/metrics.h
+++ b/src/metrics/metrics.h
@@ -1,7 +1,7 @@
 #pragma once
 
 // Counters, gauges and quantiles of one daemon, and their text exposition for GET /metrics. The table of metrics is the
-// only place where they are described; docs/operations.md is checked against it.
+// only place where they are described; docs/OPERATIONS.md is checked against it.
 //
 //   metrics_registry registry;
 //   registry.add(metric::Calls, {"tide", "tide-engines", "Ok"});
@@ -46,6 +46,17 @@
     ControlBytes,
     ConfigurationVersion,
     Violations,
+    Requests,
+    RequestSeconds,
+    FirstByteSeconds,
+    OpenRequests,
+    EndpointFailures,
+    StoreCalls,
+    StoreCallSeconds,
+    StoreReachable,
+    PeersAlive,
+    EndpointsKnown,
+    DroppedLogLines,
 };
 
 enum class metric_kind : std::uint8_t {
--- a/src/pages/pages_test.cc
+++ b/src/pages/pages_test.cc
@@ -57,7 +57,7 @@
         expected +=
             fmt::format("| `{}` | {} | {} | {} | {} |\n", key.key, key.unit, key.defaultValue, key.range, key.meaning);
     }
-    EXPECT_EQ(tableOn(readPage("operations.md"), "settings"), expected);
+    EXPECT_EQ(tableOn(readPage("OPERATIONS.md"), "settings"), expected);
 }
 
 // Guards against dashboards that ask for a metric that does not exist.
@@ -68,13 +68,13 @@
         expected += fmt::format("| `{}` | {} | {} | {} | {} |\n", row.name, nameOf(row.kind), row.unit,
                                 row.labels.empty() ? "-" : row.labels, row.meaning);
     }
-    EXPECT_EQ(tableOn(readPage("operations.md"), "metrics"), expected);
+    EXPECT_EQ(tableOn(readPage("OPERATIONS.md"), "metrics"), expected);
 }
 
 // Guards against a command of the tool that the operators' page does not mention.
 TEST(Pages, ToolCommands)
 {
-    const std::string page = readPage("operations.md");
+    const std::string page = readPage("OPERATIONS.md");
     const std::string help(ctlHelp());
     const std::string prefix = "\n  jackdawpickctl ";
     std::size_t commands = 0;
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -55,7 +55,7 @@
     std::chrono::seconds entryKeep{5};
     // [drain]
     std::chrono::milliseconds drainBound{30000};
-    // [scheduler]: names of policies, see docs/operations.md.
+    // [scheduler]: names of policies, see docs/OPERATIONS.md.
     std::string order = "attained_service";
     std::string routing = "prefix_affinity";
     std::string admission = "target";
@@ -82,7 +82,7 @@
 // "daemon.toml:4: log.retention_ms: expected an integer from 10000 to 2592000000 (code 602)".
 [[nodiscard]] std::string toString(const settings_error &problem);
 
-// One documented key: dotted name, unit, default and range. docs/operations.md is checked against this table.
+// One documented key: dotted name, unit, default and range. docs/OPERATIONS.md is checked against this table.
 struct settings_key
 {
     std::string key;
--- a/src/store/store.cc
+++ b/src/store/store.cc
@@ -11,8 +11,15 @@
 constexpr std::array<std::string_view, 4> failureNames{"no_reply", "refused", "rate_limited", "rejected"};
 constexpr std::array<std::string_view, 2> pathNames{"direct", "relay"};
 
+constexpr std::array<std::string_view, 4> callNames{"append", "read", "newest", "put"}; // As in the variant.
+
 } // namespace
 
+std::string_view nameOf(const call &what)
+{
+    return callNames.at(what.index());
+}
+
 std::string_view nameOf(failure value)
 {
     return failureNames.at(static_cast<std::size_t>(value));
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -63,6 +63,8 @@
 
 using call = std::variant<append_call, read_call, newest_call, put_call>;
 
+[[nodiscard]] std::string_view nameOf(const call &what); // Such as "append".
+
 struct record
 {
     std::uint64_t offset = 0;
