Forget no tokens of requests that two daemons decided on; follow the store's speed; keep no own turns twice

Change: the timeout of a call follows the usual time of replies; a lost reply is no outage while others are served; after one failure a relay goes before the direct path; decisions wait for a few usual times. Change: it does not. Also: an endpoint to which a connection is kept goes before one that needs a new connection.

--- a/src/fleet/endpoint_pool.cc
+++ b/src/fleet/endpoint_pool.cc
@@ -88,6 +88,10 @@
     }
     auto &value = found->second;
     ++value.inFlight;
+    if (value.inFlight >= value.recentPeak || now - value.peakAt > keptConnectionLife) {
+        value.recentPeak = value.inFlight;
+        value.peakAt = now;
+    }
     for (const auto &part : request.prompt) {
         value.cached[part.id] = {.tokens = part.tokens, .used = now};
     }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -82,6 +82,8 @@
     // How long an endpoint that the list has lost while the store was away stays in use: living endpoints are listed
     // again within this time.
     static constexpr std::chrono::milliseconds lapseGrace{2000};
+    // How long a connection is taken to be kept after its last request.
+    static constexpr std::chrono::milliseconds keptConnectionLife{3000};
 
     // Returns whether the entry says something new.
     bool announce(const endpoint_entry &entry, time_point now);
@@ -123,6 +125,8 @@
         bool leaving = false;
         std::optional<time_point> goneAt; // The grace after a lapse ends.
         std::uint32_t inFlight = 0; // Of this daemon.
+        std::uint32_t recentPeak = 0; // Most requests in flight since peakAt: so many connections are open.
+        time_point peakAt{};
         unsigned failures = 0; // In a row.
         time_point pausedUntil{};
         std::optional<double> serviceMilliseconds; // Smoothed.
--- a/src/fleet/placement.cc
+++ b/src/fleet/placement.cc
@@ -15,6 +15,7 @@
 constexpr double otherZoneCost = 3; // There and back.
 constexpr double affinityGain = 8; // Of the endpoint that the requests of one session or object share.
 constexpr double noiseRange = 2;
+constexpr double newConnectionCost = 2;
 constexpr double defaultServiceTime = 300;
 constexpr double pausedCost = 10000; // Endpoints that failed are used only if all others are worse.
 // An endpoint that was slower than usual is taken to stay slower by this part of the difference.
@@ -60,6 +61,8 @@
     cost += std::max(0.0, ownTime - usualTime) * slownessWeight;
     cost += value.entry.zone == request.zone ? 0 : otherZoneCost;
     cost += value.pausedUntil > now ? pausedCost : 0;
+    const bool hasKeptConnection = value.inFlight < value.recentPeak && now - value.peakAt < keptConnectionLife;
+    cost += hasKeptConnection ? 0 : newConnectionCost;
     return {.where = &value, .wait = wait, .cost = cost};
 }
 
--- a/src/gateway/budgets.cc
+++ b/src/gateway/budgets.cc
@@ -18,9 +18,9 @@
 using internal::storeRetry;
 using std::chrono::milliseconds;
 
-// How long the decision on a reservation may take in all, and how long one daemon may take for it.
-constexpr milliseconds decisionTimeout{800};
-constexpr milliseconds peerDecisionTimeout{300};
+// How long one daemon may take for a decision beyond the time of a few store calls.
+constexpr milliseconds decisionTime{250};
+constexpr int callsOfDecision = 3;
 constexpr unsigned mostDeciders = 3;
 constexpr milliseconds turnHolderLife{60000};
 
@@ -95,15 +95,16 @@
         return;
     }
     const auto &name = names[value.budgetTries];
+    value.lastAsked = name;
     ++value.budgetTries;
     value.reservationPending = true;
     const auto asked = reservationFor(value.request);
     const auto link = name == m_options.self.name ? std::nullopt : m_peers.linkTo(name);
     if (!link.has_value()) {
-        askHere(asked, {.caller = value.id}, std::min(value.deadline, now + decisionTimeout), now);
+        askHere(asked, {.caller = value.id}, std::min(value.deadline, now + 2 * decisionTimeout()), now);
         return;
     }
-    m_budgetQuestions.emplace(++m_lastQuestion, peer_question{value.id, *link, now + peerDecisionTimeout});
+    m_budgetQuestions.emplace(++m_lastQuestion, peer_question{value.id, *link, now + decisionTimeout()});
     m_out.emplace_back(send_message{*link,
                                     peers::budget_request{.id = m_lastQuestion,
                                                           .program = asked.program,
@@ -113,6 +114,11 @@
                                                           .previousTurn = value.request.previousTurn}});
 }
 
+milliseconds gateway::implementation::decisionTimeout() const
+{
+    return decisionTime + m_store.usualTime() * callsOfDecision;
+}
+
 void gateway::implementation::askHere(const programs::reservation &what, const budget_asker &asker,
                                       time_point deadline, time_point now)
 {
@@ -182,6 +188,7 @@
                  {"asked", value.request.maxOutputTokens},
                  {"decider", decider}},
                 now);
+        value.lastAsked.reset(); // A denied reservation holds nothing.
         refuseCall(value, 402, std::nullopt, "budget_exceeded", now);
         return;
     case programs::budget_answer::Unavailable:
@@ -220,7 +227,7 @@
     const programs::reservation asked{
         .program = what.program, .attempt = what.attempt, .tokens = what.tokens, .budget = what.budget};
     askHere(asked, {.caller = std::nullopt, .link = link, .request = what.id, .previousTurn = what.previousTurn},
-            now + peerDecisionTimeout, now);
+            now + decisionTimeout(), now);
 }
 
 void gateway::implementation::on(link_id link, const peers::budget_reply &what, time_point now)
@@ -265,7 +272,10 @@
 // Tells the daemon that granted the reservation what was used of it. Unless that is told, the whole reservation counts.
 void gateway::implementation::settle(call &value, bool holdsTurn, time_point now)
 {
-    const auto decider = std::exchange(value.reservedAt, std::nullopt);
+    // A request that ends without a grant may have been reserved all the same; it will never run.
+    const auto decider = value.reservedAt.has_value() ? value.reservedAt : value.lastAsked;
+    value.reservedAt.reset();
+    value.lastAsked.reset();
     if (!decider.has_value()) {
         return;
     }
--- a/src/gateway/internal/call.h
+++ b/src/gateway/internal/call.h
@@ -35,6 +35,7 @@
 
     bool reservationPending = false;
     unsigned budgetTries = 0; // Daemons that were asked for the reservation.
+    std::optional<std::string> lastAsked; // The newest of them; nothing once it is settled.
     std::optional<std::string> reservedAt; // Name of the daemon that granted it; nothing once it is settled.
     bool historyPending = false;
     std::string history; // Of the turns that the request continues.
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -93,6 +93,7 @@
 
     [[nodiscard]] static bool hasBudget(const call &value);
     void askForBudget(call &value, time_point now);
+    [[nodiscard]] std::chrono::milliseconds decisionTimeout() const;
     void askHere(const programs::reservation &what, const budget_asker &asker, time_point deadline, time_point now);
     bool takeBudgetOutputs(time_point now);
     void onBudgetVerdict(const programs::budget_verdict &verdict, time_point now);
--- a/src/gateway/internal/store_access.cc
+++ b/src/gateway/internal/store_access.cc
@@ -39,16 +39,16 @@
     } else if (*way == store::path::Relay) {
         startRelayed(std::move(owner), std::move(what), *relay, now, out);
     } else {
-        const auto timeout = callTimeout + waitOf(what);
-        m_direct.emplace(++m_lastCall, std::move(owner));
-        out.emplace_back(make_store_call{store_call_id{m_lastCall}, std::move(what), timeout});
+        const auto wait = waitOf(what);
+        m_direct.emplace(++m_lastCall, direct_call{std::move(owner), wait, now});
+        out.emplace_back(make_store_call{store_call_id{m_lastCall}, std::move(what), timeout() + wait});
     }
 }
 
 void store_access::startRelayed(store_owner owner, store::call what, link_id relay, time_point now,
                                 std::vector<effect> &out)
 {
-    const auto deadline = now + relayTimeout + waitOf(what);
+    const auto deadline = now + timeout() + relayTime + waitOf(what);
     m_relayed.emplace(++m_lastCall, relayed_call{std::move(owner), relay, deadline});
     out.emplace_back(send_message{relay, peers::store_request{m_lastCall, std::move(what)}});
 }
@@ -60,7 +60,37 @@
         return;
     }
     m_paths.onDirectReply(what.result, now);
-    m_completed.push_back({std::move(node.mapped()), what.result});
+    learnTime(node.mapped(), what.result, now);
+    m_completed.push_back({std::move(node.mapped().owner), what.result});
+}
+
+// Each call in a row without a reply doubles the time for the next, so that a store that has become slow is waited for.
+std::chrono::milliseconds store_access::timeout() const
+{
+    constexpr unsigned mostDoublings = 4;
+    const auto usual = std::max<std::chrono::milliseconds>(usualTime() * usualTimes, shortestTimeout);
+    return std::min<std::chrono::milliseconds>(usual * (1U << std::min(m_timeoutsInRow, mostDoublings)),
+                                               longestTimeout);
+}
+
+std::chrono::milliseconds store_access::usualTime() const
+{
+    return std::chrono::ceil<std::chrono::milliseconds>(m_usualTime);
+}
+
+void store_access::learnTime(const direct_call &call, const store::reply &result, time_point now)
+{
+    constexpr double newestWeight = 0.2;
+    const auto *reason = std::get_if<store::failure>(&result);
+    if (reason != nullptr) {
+        m_timeoutsInRow += *reason == store::failure::NoReply ? 1 : 0;
+        return;
+    }
+    m_timeoutsInRow = 0;
+    if (call.wait.count() == 0) {
+        const std::chrono::duration<double, std::milli> took = now - call.started;
+        m_usualTime = m_usualTime * (1 - newestWeight) + took * newestWeight;
+    }
 }
 
 bool store_access::onRelayReply(link_id link, const peers::store_response &what)
--- a/src/gateway/internal/store_access.h
+++ b/src/gateway/internal/store_access.h
@@ -71,11 +71,13 @@
 class store_access
 {
 public:
-    // Longer than the slowest reply that is still of use; a call that takes longer is made again, the other way if
-    // there is one.
-    static constexpr std::chrono::milliseconds callTimeout{600};
-    // Of a call that another daemon makes; covers its own call and the way there and back.
-    static constexpr std::chrono::milliseconds relayTimeout{800};
+    // A call without a reply after a few times the usual time is made again: while the store loses replies, waiting
+    // longer would hold up all that follows.
+    static constexpr std::chrono::milliseconds shortestTimeout{80};
+    static constexpr std::chrono::milliseconds longestTimeout{1000};
+    static constexpr int usualTimes = 4;
+    // Added for a call that another daemon makes: the way there and back.
+    static constexpr std::chrono::milliseconds relayTime{100};
 
     // Starts the call, or completes it as refused if there is no way to the store. `relay` is a link to a daemon that
     // reaches the store. Calls for peers and probes go directly or not at all.
@@ -91,8 +93,17 @@
 
     [[nodiscard]] std::deque<store_completion> takeCompletions();
     [[nodiscard]] const store::path_selector &paths() const;
+    // Smoothed time until a call that does not wait is served.
+    [[nodiscard]] std::chrono::milliseconds usualTime() const;
 
 private:
+    struct direct_call
+    {
+        store_owner owner;
+        std::chrono::milliseconds wait{0}; // That the call itself asks for.
+        time_point started;
+    };
+
     struct relayed_call
     {
         store_owner owner;
@@ -102,9 +113,14 @@
 
     void startRelayed(store_owner owner, store::call what, link_id relay, time_point now, std::vector<effect> &out);
 
+    [[nodiscard]] std::chrono::milliseconds timeout() const;
+    void learnTime(const direct_call &call, const store::reply &result, time_point now);
+
     store::path_selector m_paths;
+    std::chrono::duration<double, std::milli> m_usualTime{10};
+    unsigned m_timeoutsInRow = 0;
     std::uint64_t m_lastCall = 0;
-    std::map<std::uint64_t, store_owner> m_direct;
+    std::map<std::uint64_t, direct_call> m_direct;
     std::map<std::uint64_t, relayed_call> m_relayed;
     std::deque<store_completion> m_completed;
 };
--- a/src/gateway/platform_state.cc
+++ b/src/gateway/platform_state.cc
@@ -92,7 +92,7 @@
     for (const auto &watch : m_watches) {
         consider(watch.nextPoll());
     }
-    if (!m_store.paths().directUp()) {
+    if (m_store.paths().isSuspect()) {
         consider(m_probeAt);
     }
     if (!m_announceOpen) {
@@ -234,7 +234,7 @@
             startStoreCall(internal::for_watch{static_cast<watched>(i)}, std::move(*due), now);
         }
     }
-    if (!m_store.paths().directUp() && m_probeAt <= now) {
+    if (m_store.paths().isSuspect() && m_probeAt <= now) {
         m_probeAt = time_point::max();
         startStoreCall(internal::for_probe{}, store::read_call{.where = m_options.layout.daemons, .keyed = true}, now);
     }
--- a/src/gateway/testing/gateway_world.cc
+++ b/src/gateway/testing/gateway_world.cc
@@ -508,9 +508,13 @@
 
 // ---- The rest ----
 
-void gateway_world::on(int /*daemon*/, const log_line &what)
+void gateway_world::on(int daemon, const log_line &what)
 {
     ++m_lines[what.event];
+    if (m_options.printLog) {
+        fmt::print("{:>8} daemon-{} {}\n", millisecondsBetween(time_point(), now()).count(), daemon,
+                   logging::format(what.level, what.event, what.fields));
+    }
 }
 
 int gateway_world::linesWith(std::string_view event) const
--- a/src/gateway/testing/gateway_world.h
+++ b/src/gateway/testing/gateway_world.h
@@ -65,6 +65,7 @@
     std::chrono::milliseconds eventGap{20};
     int eventsPerTurn = 3;
     std::chrono::milliseconds serviceTime{30};
+    bool printLog = false; // For a look at a failing test.
 };
 
 // How the store treats the calls of one daemon.
--- a/src/gateway/turns.cc
+++ b/src/gateway/turns.cc
@@ -126,8 +126,8 @@
     value.history += value.request.body;
     value.history += value.output;
     const programs::turn record{.id = value.request.attempt, .history = value.history};
-    const auto ticket = m_log.append(turnPartition(record.id), programs::encodeRecord(record),
-                                     store::follow::UntilAppended, now + saveTimeout);
+    const auto ticket =
+        m_log.append(turnPartition(record.id), programs::encodeRecord(record), now + saveTimeout);
     m_tickets.emplace(ticket, ticket_owner{value.id, ticket_use::SaveTurn});
     settle(value, true, now);
 }
--- a/src/programs/budget_ledger.cc
+++ b/src/programs/budget_ledger.cc
@@ -1,5 +1,7 @@
 #include "programs/programs.h"
 
+#include <algorithm>
+
 namespace jackdawpick::programs
 {
 
@@ -35,6 +37,9 @@
 {
     auto &attempt = program.attempts[value.attempt];
     if (attempt.settled) {
+        // Of two settlements the larger counts.
+        program.usage.spent += std::max(value.tokens, attempt.tokens) - attempt.tokens;
+        attempt.tokens = std::max(value.tokens, attempt.tokens);
         return;
     }
     if (attempt.granted) {
--- a/src/programs/budget_partition.cc
+++ b/src/programs/budget_partition.cc
@@ -69,9 +69,8 @@
         const auto *asked = std::get_if<reservation>(&entry.record);
         return asked != nullptr && asked->program == what.program && asked->attempt == what.attempt;
     };
-    const auto queued = m_unwritten.begin() + static_cast<std::ptrdiff_t>(m_inFlight);
-    const auto found = std::find_if(queued, m_unwritten.end(), own);
-    if (found != m_unwritten.end() && what.tokens == 0) {
+    const auto found = std::ranges::find_if(m_unwritten, own);
+    if (found != m_unwritten.end() && !found->maybeWritten && what.tokens == 0) {
         m_unwritten.erase(found);
         return;
     }
@@ -137,6 +136,7 @@
     std::ranges::transform(m_unwritten, std::back_inserter(what.records),
                            [](const unwritten &entry) { return encodeRecord(entry.record); });
     m_inFlight = m_unwritten.size();
+    std::ranges::for_each(m_unwritten, [](unwritten &entry) { entry.maybeWritten = true; });
     m_append = budget_call_id{++m_lastCall};
     m_retryAt.reset();
     m_outputs.emplace_back(start_budget_call{.id = *m_append, .what = std::move(what)});
@@ -257,7 +257,8 @@
 
 // ---- Time ----
 
-// A reservation whose verdict comes too late is taken back; if it has been written after all, a settlement follows.
+// A reservation whose verdict comes too late is taken back unless its append may have been executed. It is never settled
+// here: another daemon may have granted the same request meanwhile, and what it uses must count.
 void budget_partition::expire(time_point now)
 {
     std::erase_if(m_waiting, [&](const question &entry) {
@@ -267,14 +268,14 @@
         }
         return late;
     });
-    for (auto &entry : m_unwritten) {
-        if (entry.deadline.has_value() && *entry.deadline <= now) {
-            const auto asked = std::get<reservation>(entry.record);
-            answer(asked, budget_answer::Unavailable);
-            entry.record = settlement{.program = asked.program, .attempt = asked.attempt, .tokens = 0};
-            entry.deadline.reset();
+    std::erase_if(m_unwritten, [&](unwritten &entry) {
+        if (!entry.deadline.has_value() || *entry.deadline > now) {
+            return false;
         }
-    }
+        answer(std::get<reservation>(entry.record), budget_answer::Unavailable);
+        entry.deadline.reset();
+        return !entry.maybeWritten;
+    });
 }
 
 void budget_partition::tick(time_point now)
--- a/src/programs/programs.h
+++ b/src/programs/programs.h
@@ -172,6 +172,7 @@
         program_record record;
         time_point since;
         std::optional<time_point> deadline; // Of a reservation, whose verdict waits until it is written.
+        bool maybeWritten = false; // An append of it was started.
     };
 
     struct question
--- a/src/store/partition_log.cc
+++ b/src/store/partition_log.cc
@@ -6,16 +6,13 @@
 namespace jackdawpick::store
 {
 
-ticket_id partition_log::append(const partition &where, std::string record, follow until, time_point deadline)
+ticket_id partition_log::append(const partition &where, std::string record, time_point deadline)
 {
     auto &state = m_partitions[where];
     m_active.insert(where);
     const ticket_id ticket{++m_lastTicket};
-    state.queued.push_back({.ticket = ticket, .record = std::move(record), .until = until, .deadline = deadline});
+    state.queued.push_back({.ticket = ticket, .record = std::move(record), .deadline = deadline});
     startAppend(where, state);
-    if (until == follow::UntilRead) {
-        startRead(where, state); // Beside the append: usually nothing else comes between, and no second read is due.
-    }
     return ticket;
 }
 
@@ -24,8 +21,7 @@
     auto &state = m_partitions[where];
     m_active.insert(where);
     const ticket_id ticket{++m_lastTicket};
-    state.waiting.push_back(
-        {.ticket = ticket, .toEnd = true, .afterRead = state.readsStarted, .deadline = deadline});
+    state.waiting.push_back({.ticket = ticket, .afterRead = state.readsStarted, .deadline = deadline});
     startRead(where, state);
     return ticket;
 }
@@ -70,7 +66,7 @@
     if (!node.mapped().isRead) {
         state.appendCall.reset();
         if (const auto *done = std::get_if<appended>(&result)) {
-            onAppended(where, state, *done);
+            onAppended(state, *done);
         } else {
             const auto *reason = std::get_if<failure>(&result);
             onAppendFailed(state, reason == nullptr ? failure::NoReply : *reason, now);
@@ -93,27 +89,13 @@
     }
 }
 
-void partition_log::onAppended(const partition &where, partition_state &state, const appended &result)
+void partition_log::onAppended(partition_state &state, const appended &result)
 {
     std::uint64_t offset = result.offset;
-    for (auto &entry : std::exchange(state.inFlight, {})) {
-        if (offset >= state.next) {
-            state.ownRecords.emplace(offset, std::move(entry.record));
-        }
-        if (entry.until == follow::UntilRead) {
-            state.waiting.push_back({.ticket = entry.ticket, .offset = offset, .deadline = entry.deadline});
-        } else {
-            m_outputs.emplace_back(ticket_result{.ticket = entry.ticket, .done = true, .offset = offset});
-        }
+    for (const auto &entry : std::exchange(state.inFlight, {})) {
+        m_outputs.emplace_back(ticket_result{.ticket = entry.ticket, .done = true, .offset = offset});
         ++offset;
     }
-    if (!state.readCall.has_value()) {
-        deliverOwn(where, state);
-        reportReached(state, false, state.readsStarted);
-        if (!state.waiting.empty()) {
-            startRead(where, state);
-        }
-    }
 }
 
 void partition_log::onAppendFailed(partition_state &state, failure reason, time_point now)
@@ -132,51 +114,27 @@
 
 void partition_log::onRead(const partition &where, partition_state &state, const records_read &result)
 {
-    const auto readNumber = state.readsStarted;
-    // A reply may begin before or after the requested offset; only what continues the delivered records counts.
+    // A reply may begin before the requested offset; only what continues the delivered records counts.
     std::vector<record> fresh;
     std::ranges::copy_if(result.records, std::back_inserter(fresh),
                          [&](const record &entry) { return entry.offset >= state.next; });
-    deliver(where, state, std::move(fresh));
-    const bool atEnd = state.next >= result.end;
-    deliverOwn(where, state);
-    reportReached(state, atEnd, readNumber);
-    if (!state.waiting.empty()) {
-        startRead(where, state);
+    if (!fresh.empty()) {
+        state.next = fresh.back().offset + 1;
+        m_outputs.emplace_back(deliver_records{.where = where, .records = std::move(fresh)});
     }
-}
-
-void partition_log::deliver(const partition &where, partition_state &state, std::vector<record> records)
-{
-    if (records.empty()) {
-        return;
+    if (state.next >= result.end) {
+        const auto readNumber = state.readsStarted;
+        std::erase_if(state.waiting, [&](const waiting_read &entry) {
+            const bool reached = readNumber > entry.afterRead;
+            if (reached) {
+                m_outputs.emplace_back(ticket_result{.ticket = entry.ticket, .done = true});
+            }
+            return reached;
+        });
     }
-    state.next = records.back().offset + 1;
-    std::erase_if(state.ownRecords, [&](const auto &entry) { return entry.first < state.next; });
-    m_outputs.emplace_back(deliver_records{.where = where, .records = std::move(records)});
-}
-
-void partition_log::deliverOwn(const partition &where, partition_state &state)
-{
-    std::vector<record> records;
-    std::uint64_t next = state.next;
-    for (auto found = state.ownRecords.find(next); found != state.ownRecords.end();
-         found = state.ownRecords.find(next)) {
-        records.push_back({.offset = next, .key = {}, .value = found->second});
-        ++next;
+    if (!state.waiting.empty()) {
+        startRead(where, state);
     }
-    deliver(where, state, std::move(records));
-}
-
-void partition_log::reportReached(partition_state &state, bool atEnd, std::uint64_t readNumber)
-{
-    std::erase_if(state.waiting, [&](const waiting_read &entry) {
-        const bool reached = entry.toEnd ? atEnd && readNumber > entry.afterRead : entry.offset < state.next;
-        if (reached) {
-            m_outputs.emplace_back(ticket_result{.ticket = entry.ticket, .done = true, .offset = entry.offset});
-        }
-        return reached;
-    });
 }
 
 void partition_log::dropExpired(partition_state &state, time_point now)
@@ -210,7 +168,7 @@
         }
         if (state.retryReadAt.has_value() && *state.retryReadAt <= now) {
             state.retryReadAt.reset();
-            if (!state.waiting.empty() || !state.inFlight.empty()) {
+            if (!state.waiting.empty()) {
                 startRead(where, state);
             }
         }
--- a/src/store/partition_log.h
+++ b/src/store/partition_log.h
@@ -6,7 +6,7 @@
 // Records must tolerate being appended twice: an append without a reply is sent again.
 //
 //   partition_log log;
-//   auto ticket = log.append(where, record, follow::UntilRead, deadline);
+//   auto ticket = log.append(where, record, deadline);
 //   for (auto &output : log.takeOutputs()) { ... }     // start_call: make the call, then log.onReply(id, reply, now)
 //
 // Pure: no I/O, no clock. Thread compatible.
@@ -27,12 +27,6 @@
 enum class ticket_id : std::uint64_t {};
 enum class call_id : std::uint64_t {};
 
-// When an append is reported.
-enum class follow : std::uint8_t {
-    UntilAppended,
-    UntilRead, // All records of the partition up to and including the appended one have been delivered.
-};
-
 struct start_call
 {
     call_id id{};
@@ -63,7 +57,7 @@
     // Pause before a failed call is made again.
     static constexpr std::chrono::milliseconds retryDelay{40};
 
-    ticket_id append(const partition &where, std::string record, follow until, time_point deadline);
+    ticket_id append(const partition &where, std::string record, time_point deadline);
     // Reported once all records are delivered that the partition had when this was called.
     ticket_id catchUp(const partition &where, time_point deadline);
 
@@ -80,16 +74,13 @@
     {
         ticket_id ticket{};
         std::string record;
-        follow until = follow::UntilAppended;
         time_point deadline;
     };
 
     struct waiting_read
     {
         ticket_id ticket{};
-        std::uint64_t offset = 0; // Reported once this offset has been delivered.
-        bool toEnd = false; // Or once a read that began later has reached the end.
-        std::uint64_t afterRead = 0;
+        std::uint64_t afterRead = 0; // Reported once a read that began later has reached the end.
         time_point deadline;
     };
 
@@ -101,7 +92,6 @@
         std::uint64_t readsStarted = 0;
         std::deque<pending_append> queued;
         std::vector<pending_append> inFlight;
-        std::map<std::uint64_t, std::string> ownRecords; // Appended and not yet delivered.
         std::vector<waiting_read> waiting;
         std::optional<time_point> retryAppendAt;
         std::optional<time_point> retryReadAt;
@@ -115,12 +105,9 @@
 
     void startAppend(const partition &where, partition_state &state);
     void startRead(const partition &where, partition_state &state);
-    void onAppended(const partition &where, partition_state &state, const appended &result);
+    void onAppended(partition_state &state, const appended &result);
     void onAppendFailed(partition_state &state, failure reason, time_point now);
     void onRead(const partition &where, partition_state &state, const records_read &result);
-    void deliver(const partition &where, partition_state &state, std::vector<record> records);
-    void deliverOwn(const partition &where, partition_state &state);
-    void reportReached(partition_state &state, bool atEnd, std::uint64_t readNumber);
     void dropExpired(partition_state &state, time_point now);
     [[nodiscard]] static bool idle(const partition_state &state);
 
--- a/src/store/path_selector.cc
+++ b/src/store/path_selector.cc
@@ -5,10 +5,15 @@
 
 std::optional<path> path_selector::choose(bool relayAvailable) const
 {
-    if (directUp()) {
-        return path::Direct;
+    if (relayAvailable && isSuspect()) {
+        return path::Relay;
     }
-    return relayAvailable ? std::optional(path::Relay) : std::nullopt;
+    return directUp() ? std::optional(path::Direct) : std::nullopt;
+}
+
+bool path_selector::isSuspect() const
+{
+    return m_failures > 0;
 }
 
 void path_selector::onDirectReply(const reply &result, time_point now)
@@ -20,9 +25,9 @@
         m_lastServed = now;
         return;
     }
-    const bool shared = *reason == failure::RateLimited && m_lastServed.has_value()
-        && now - *m_lastServed < rateLimitGrace;
-    m_failures += shared ? 0 : 1;
+    const bool servesOthers = *reason != failure::Refused && m_lastServed.has_value()
+        && now - *m_lastServed < servedGrace;
+    m_failures += servesOthers ? 0 : 1;
     m_lastDown = directUp() ? m_lastDown : now;
 }
 
--- a/src/store/path_selector.h
+++ b/src/store/path_selector.h
@@ -22,11 +22,15 @@
 public:
     // Direct calls that fail in a row before the direct path counts as down.
     static constexpr unsigned failuresUntilDown = 2;
-    // A rate limit is a failure only if no call has been served for this long: then it is meant for this daemon alone.
-    static constexpr std::chrono::milliseconds rateLimitGrace{500};
+    // A rate limit or a lost reply is a failure only if no call has been served for this long: the limit is meant for
+    // all daemons together, and a store that loses some replies still serves.
+    static constexpr std::chrono::milliseconds servedGrace{200};
 
-    // Nothing if neither the store nor a daemon that reaches it is known to be reachable.
+    // Nothing if neither the store nor a daemon that reaches it is known to be reachable. After one failure already a
+    // relay goes before the direct path, which then needs probes to count as sound again.
     [[nodiscard]] std::optional<path> choose(bool relayAvailable) const;
+    // The newest direct calls failed; a probe is due.
+    [[nodiscard]] bool isSuspect() const;
     void onDirectReply(const reply &result, time_point now);
     [[nodiscard]] bool directUp() const;
     // Whether the direct path is down or was so within `time` before now.
