Second place for turns, and quick answers, while a part of the store's partitions is away

Change: a turn that cannot be written to the first of its two places in time is written to the second; readers look into both, and say 404 only after reading both. A decider whose partition has failed twice and served nothing for 250 ms answers at once. Tests: Turns.AreWrittenToASecondPlace, QuestionsToAnAwayPartitionAreAnsweredAtOnce.

--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -105,6 +105,35 @@
     EXPECT_TRUE(answer.complete);
 }
 
+// Guards against answers that are cut because a part of the store is away, and against their turns being unknown later.
+TEST(Turns, AreWrittenToASecondPlace)
+{
+    gateway_world world({.daemons = 2});
+    world.settle();
+    auto &probe = world.ask(0, turnOf("p", "a")); // Shows the topic in which turn a lies.
+    world.runFor(1s);
+    ASSERT_TRUE(probe.complete);
+    for (const auto &topic : world.topics()) {
+        if (topic.starts_with("turns")) {
+            world.awayTopics.insert(topic);
+        }
+    }
+    auto &again = world.ask(0, turnOf("p", "a"));
+    world.runFor(1500ms);
+    ASSERT_TRUE(again.complete);
+    world.kill(0);
+    world.kill(1);
+    world.start(0);
+    world.start(1);
+    world.settle();
+    auto &next = world.ask(1, turnOf("q", "b", 1000, "a"));
+    world.runFor(2s);
+    EXPECT_EQ(next.status, 200);
+    auto &unknown = world.ask(1, turnOf("q", "c", 1000, "never"));
+    world.runFor(2s);
+    EXPECT_EQ(unknown.status, 404);
+}
+
 // Guards against a stream that looks complete although its turn could not be written.
 TEST(Turns, UnwrittenTurnBreaksTheAnswerOff)
 {
--- a/src/gateway/internal/call.h
+++ b/src/gateway/internal/call.h
@@ -38,6 +38,8 @@
     std::optional<std::string> lastAsked; // The newest of them; nothing once it is settled.
     std::optional<std::string> reservedAt; // Name of the daemon that granted it; nothing once it is settled.
     bool historyPending = false;
+    bool historyUncertain = false; // The first of its two places could not be read.
+    bool secondPlace = false; // The first place was read, or written, without success.
     std::string history; // Of the turns that the request continues.
 
     std::optional<dispatch_id> dispatch;
@@ -54,6 +56,7 @@
     event_splitter events;
     std::uint32_t eventCount = 0;
     std::string output; // Data of the events of a retained turn, or the body of a held answer.
+    time_point saveDeadline{};
     std::optional<time_point> firstByteAt;
 };
 
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -127,7 +127,9 @@
     void onSaved(call &value, const store::ticket_result &result, time_point now);
     [[nodiscard]] std::uint32_t tokensHandedOver(const call &value) const;
     [[nodiscard]] store::partition programPartition(const std::string &program) const;
-    [[nodiscard]] store::partition turnPartition(const std::string &turn) const;
+    // A turn lies in the first of its two places; in the second one if the first could not be written.
+    [[nodiscard]] store::partition turnPartition(const std::string &turn, bool second) const;
+    void saveTurn(call &value, time_point now);
 
     // dispatching.cc
     void dispatch(call &value, time_point now);
@@ -199,6 +201,7 @@
     std::map<dispatch_id, caller_id> m_dispatches;
     std::uint64_t m_lastDispatch = 0;
     std::map<store::ticket_id, ticket_owner> m_tickets;
+    std::map<store::partition, time_point> m_failingUntil; // Partitions in which no turn is saved for a while.
 
     time_point m_lastEnd{}; // Of a request.
     std::optional<time_point> m_shutdownBegan;
--- a/src/gateway/testing/gateway_world.cc
+++ b/src/gateway/testing/gateway_world.cc
@@ -354,7 +354,8 @@
     const auto answer = [=, this](milliseconds delay, store::reply result) {
         after(delay, [=, this] { feed(daemon, life, store_replied{what.call, result}); });
     };
-    if (mood.away) {
+    const auto topic = std::visit([](const auto &body) { return body.where.topic; }, what.what);
+    if (mood.away || awayTopics.contains(topic)) {
         answer(what.timeout, store::failure::NoReply);
         return;
     }
@@ -451,6 +452,17 @@
     return count;
 }
 
+std::set<std::string> gateway_world::topics() const
+{
+    std::set<std::string> names;
+    for (const auto &[where, content] : m_partitions) {
+        if (!content.records.empty()) {
+            names.insert(where.topic);
+        }
+    }
+    return names;
+}
+
 // ---- Links ----
 
 int gateway_world::daemonAt(const std::string &peerAddress) const
--- a/src/gateway/testing/gateway_world.h
+++ b/src/gateway/testing/gateway_world.h
@@ -105,9 +105,12 @@
     [[nodiscard]] int linesWith(std::string_view event) const;
     [[nodiscard]] int runsOf(const std::string &attempt) const;
     [[nodiscard]] std::size_t recordsIn(std::string_view topicPrefix) const;
+    // Topics that hold a record.
+    [[nodiscard]] std::set<std::string> topics() const;
 
     std::map<int, store_mood> stores; // By daemon.
     std::map<std::string, endpoint_mood> endpoints; // By id; Answers if missing.
+    std::set<std::string> awayTopics; // Topics whose partitions give no reply.
     std::set<std::pair<int, int>> cutLinks; // From, to.
     std::vector<run_at_endpoint> runs;
     std::vector<std::string> cancelled; // Attempts that a gateway cancelled at an endpoint.
--- a/src/gateway/turns.cc
+++ b/src/gateway/turns.cc
@@ -22,6 +22,11 @@
 constexpr milliseconds peerTurnTimeout{60};
 // How long the end of an answer may wait for its turn to be written; callers give a silent stream up after 2 s.
 constexpr milliseconds saveTimeout{1800};
+// After this, or a few usual times of the store, the turn is written to its second place.
+constexpr milliseconds firstPlaceTimeout{250};
+constexpr int firstPlaceTimes = 3;
+// How long a partition that failed is passed over.
+constexpr milliseconds failingTime{2000};
 
 store::partition partitionFor(std::string_view prefix, const std::string &key, std::uint32_t topics,
                               std::uint32_t parts)
@@ -39,9 +44,10 @@
     return partitionFor("programs", program, m_options.layout.programTopics, m_options.layout.partsPerTopic);
 }
 
-store::partition gateway::implementation::turnPartition(const std::string &turn) const
+store::partition gateway::implementation::turnPartition(const std::string &turn, bool second) const
 {
-    return partitionFor("turns", turn, m_options.layout.turnTopics, m_options.layout.partsPerTopic);
+    const auto &layout = m_options.layout;
+    return partitionFor("turns", second ? turn + "/2" : turn, layout.turnTopics, layout.partsPerTopic);
 }
 
 // `holder` is a daemon that has the text; empty if none is known.
@@ -74,21 +80,26 @@
                        now);
         return;
     }
-    const auto ticket = m_log.catchUp(turnPartition(turn), std::min(value.deadline, now + historyTimeout));
+    const auto where = turnPartition(turn, value.secondPlace);
+    const auto ticket = m_log.catchUp(where, std::min(value.deadline, now + historyTimeout / 2));
     m_tickets.emplace(ticket, ticket_owner{value.id, ticket_use::History});
 }
 
 // The partition of the turn has been read to its end if `certain`.
 void gateway::implementation::onHistoryRead(call &value, bool certain, time_point now)
 {
-    value.historyPending = false;
+    value.historyUncertain = value.historyUncertain || !certain;
     if (const auto *text = m_turns.find(value.request.previousTurn); text != nullptr) {
+        value.historyPending = false;
         value.history = *text;
         continueIfPrepared(value, now);
-    } else if (!certain) {
-        refuseCall(value, 503, storeRetry, "history_not_read", now);
     } else if (m_turns.locate(value.request.previousTurn).has_value()) {
         readHistory(value, now); // Found, and evicted again by the turns behind it.
+    } else if (!value.secondPlace) {
+        value.secondPlace = true;
+        readHistory(value, now);
+    } else if (value.historyUncertain) {
+        refuseCall(value, 503, storeRetry, "history_not_read", now);
     } else {
         refuseCall(value, 404, std::nullopt, "no_such_turn", now);
     }
@@ -125,22 +136,40 @@
     value.phase = call_phase::Saving;
     value.history += value.request.body;
     value.history += value.output;
+    value.saveDeadline = now + saveTimeout;
+    const auto failing = m_failingUntil.find(turnPartition(value.request.attempt, false));
+    value.secondPlace = failing != m_failingUntil.end() && failing->second > now;
+    saveTurn(value, now);
+    settle(value, true, now);
+}
+
+void gateway::implementation::saveTurn(call &value, time_point now)
+{
+    const auto first = std::max<milliseconds>(firstPlaceTimeout, m_store.usualTime() * firstPlaceTimes);
+    const auto deadline = value.secondPlace ? value.saveDeadline : std::min(value.saveDeadline, now + first);
     const programs::turn record{.id = value.request.attempt, .history = value.history};
     const auto ticket =
-        m_log.append(turnPartition(record.id), programs::encodeRecord(record), now + saveTimeout);
+        m_log.append(turnPartition(record.id, value.secondPlace), programs::encodeRecord(record), deadline);
     m_tickets.emplace(ticket, ticket_owner{value.id, ticket_use::SaveTurn});
-    settle(value, true, now);
 }
 
 void gateway::implementation::onSaved(call &value, const store::ticket_result &result, time_point now)
 {
+    const auto &turn = value.request.attempt;
+    const auto where = turnPartition(turn, value.secondPlace);
+    if (!result.done && !value.secondPlace) {
+        log(log_level::Warning, "partition_failing", {{"topic", where.topic}, {"part", where.number}});
+        m_failingUntil[where] = now + failingTime;
+        value.secondPlace = true;
+        saveTurn(value, now);
+        return;
+    }
     if (!result.done) {
         m_out.emplace_back(abort_answer{value.id});
         finishCall(value, "turn_not_written", now);
         return;
     }
-    const auto &turn = value.request.attempt;
-    m_turns.add(turn, std::move(value.history), {turnPartition(turn), result.offset}, now);
+    m_turns.add(turn, std::move(value.history), {where, result.offset}, now);
     m_out.emplace_back(end_answer{value.id});
     finishCall(value, internal::answeredOutcome, now);
 }
--- a/src/programs/budget_partition.cc
+++ b/src/programs/budget_partition.cc
@@ -27,6 +27,12 @@
 void budget_partition::ask(const reservation &what, time_point deadline, time_point now)
 {
     const question entry{.what = what, .deadline = deadline};
+    if (isAway(now)) {
+        answer(what, budget_answer::Unavailable);
+        m_mustRead = true;
+        startRead();
+        return;
+    }
     if (m_mustRead) {
         m_waiting.push_back(entry);
         startRead();
@@ -89,6 +95,11 @@
     return m_confirmed.has_value() && now - *m_confirmed <= freshFor;
 }
 
+bool budget_partition::isAway(time_point now) const
+{
+    return m_failures >= failuresUntilAway && now - m_failingSince >= awayAfter;
+}
+
 budget_usage budget_partition::usageOf(const std::string &program) const
 {
     auto usage = m_written.usageOf(program);
@@ -158,6 +169,7 @@
         return;
     }
     (isAppend ? m_append : m_read).reset();
+    m_failures = std::holds_alternative<store::failure>(result) ? m_failures : 0;
     if (const auto *done = std::get_if<store::appended>(&result); done != nullptr && isAppend) {
         onAppended(*done, now);
     } else if (const auto *records = std::get_if<store::records_read>(&result)) {
@@ -176,6 +188,8 @@
         m_mustRead = m_mustRead || (isAppend && (reason == nullptr || *reason == store::failure::NoReply));
         m_inFlight = 0;
         m_retryAt = now + retryDelay;
+        m_failingSince = m_failures == 0 ? now : m_failingSince;
+        ++m_failures;
     }
     expire(now);
     startAppend(now);
--- a/src/programs/budget_partition_test.cc
+++ b/src/programs/budget_partition_test.cc
@@ -241,6 +241,30 @@
     EXPECT_FALSE(one.budgets.hasUnwritten());
 }
 
+// Guards against requests that wait for a part of the store that is known to be away, and against one that stays away for
+// good after it is back.
+TEST_F(budget_partition_test, QuestionsToAnAwayPartitionAreAnsweredAtOnce)
+{
+    ask(one, "1");
+    run(one);
+    ask(one, "2");
+    for (int i = 0; i < 10; ++i) {
+        while (!one.calls.empty()) {
+            reply(one, store::failure::NoReply);
+        }
+        clock.advance(50ms);
+        one.budgets.tick(clock.now());
+        one.collect();
+    }
+    ask(one, "3");
+    EXPECT_TRUE(one.isAnswered("3"));
+    EXPECT_EQ(one.answerTo("3"), budget_answer::Unavailable);
+    run(one);
+    ask(one, "4");
+    run(one);
+    EXPECT_EQ(one.answerTo("4"), budget_answer::Granted);
+}
+
 // Guards against tokens that are forgotten because a daemon which answered too late settled the request with nothing, after
 // another one had granted it (scale-1 --seed 622016365041 of wanza-agents: a program got more than its budget).
 TEST_F(budget_partition_test, LateDeciderForgetsNoTokens)
--- a/src/programs/programs.h
+++ b/src/programs/programs.h
@@ -149,6 +149,10 @@
     static constexpr std::chrono::milliseconds retryDelay{40};
     // A denial needs a view of the partition that is no older than this.
     static constexpr std::chrono::milliseconds freshFor{300};
+    // A partition whose last calls failed, and that has served none for this long, is taken as away: questions are
+    // answered at once, and each of them is an occasion to try again.
+    static constexpr std::chrono::milliseconds awayAfter{250};
+    static constexpr unsigned failuresUntilAway = 2;
 
     explicit budget_partition(store::partition where);
 
@@ -193,12 +197,15 @@
     [[nodiscard]] bool isWritten(const program_record &record) const;
     [[nodiscard]] bool isGranted(const reservation &what) const;
     [[nodiscard]] bool isFresh(time_point now) const;
+    [[nodiscard]] bool isAway(time_point now) const;
     [[nodiscard]] std::optional<time_point> appendDue() const;
 
     store::partition m_where;
     budget_ledger m_written;
     std::uint64_t m_next = 0; // Offset after the last record that was read or written.
     std::optional<time_point> m_confirmed; // When the view was last known to be complete.
+    unsigned m_failures = 0; // Of calls in a row.
+    time_point m_failingSince{};
     std::vector<unwritten> m_unwritten; // In the order in which they are appended.
     std::size_t m_inFlight = 0; // The first ones of m_unwritten are being appended.
     std::vector<question> m_waiting; // Until the partition has been read.
