Take entries as lapsed only if many go together; beats twice as often

Entries that lapse with an outage go together. Change: the grace needs a third of all entries to go in one update. Test: Endpoints.OnlyEntriesThatGoTogetherMayHaveLapsed. Also: beats every 100 ms, so that a frozen daemon leaves the directory and the deciders after 0.4 s instead of 0.8 s.

--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -356,6 +356,39 @@
     EXPECT_EQ(world.runsOf("a"), 0);
 }
 
+// Guards against an endpoint that left right after an outage and stays in use as if its entry had lapsed (hunt-90d3-3 and
+// hunt-222a-11 of klitvagt-serve: DRAIN), and against refusing everything when all entries lapsed.
+TEST(Endpoints, OnlyEntriesThatGoTogetherMayHaveLapsed)
+{
+    gateway_world world({.daemons = 1, .engines = 4, .shops = 2});
+    world.settle();
+    leaveAway(world, 1, true);
+    world.runFor(3s);
+    world.removeEndpoint("shop-0");
+    leaveAway(world, 1, false);
+    world.runFor(1s);
+    for (int i = 0; i < 10; ++i) {
+        world.ask(0, shopCall("/read/1", fmt::format("a{}", i)));
+    }
+    world.runFor(500ms);
+    EXPECT_EQ(std::ranges::count(world.runs, "shop-0", &run_at_endpoint::endpoint), 0);
+
+    leaveAway(world, 1, true);
+    world.runFor(3s);
+    for (const auto *id : {"engine-0", "engine-1", "engine-2", "engine-3", "shop-1"}) {
+        world.removeEndpoint(id);
+    }
+    leaveAway(world, 1, false);
+    world.runFor(1s);
+    auto &served = world.ask(0, shopCall("/read/1", "b"));
+    world.runFor(500ms);
+    EXPECT_EQ(served.status, 200);
+    world.runFor(2500ms);
+    auto &refused = world.ask(0, shopCall("/read/1", "c"));
+    world.runFor(500ms);
+    EXPECT_EQ(refused.status, 503);
+}
+
 // Guards against a shutdown that cuts requests, and against a directory that names a daemon which is going.
 TEST(Shutdown, FinishesRequestsAndLeavesTheDirectory)
 {
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -160,7 +160,7 @@
     void applyEndpoints(const internal::watch_update &update, time_point now);
     void applyDaemons(const internal::watch_update &update, time_point now);
     void applyConnectionLimits(time_point now);
-    [[nodiscard]] bool entriesMayHaveLapsed(time_point now) const;
+    [[nodiscard]] bool entriesMayHaveLapsed(const internal::watch_update &update, time_point now) const;
     [[nodiscard]] bool storeAvailable(time_point now) const;
     [[nodiscard]] std::optional<link_id> relayLink(time_point now) const;
     void pollPlatform(time_point now);
--- a/src/gateway/internal/peer_table.h
+++ b/src/gateway/internal/peer_table.h
@@ -19,7 +19,7 @@
 public:
     // Beats are sent to all peers at least this far apart, and rarer with many peers, so that their cost for one daemon
     // stays bounded.
-    static constexpr std::chrono::milliseconds shortestBeatInterval{200};
+    static constexpr std::chrono::milliseconds shortestBeatInterval{100};
     static constexpr std::chrono::milliseconds beatIntervalPerPeer{12};
     // Missed beats after which a peer counts as away.
     static constexpr int missedBeats = 4;
--- a/src/gateway/platform_state.cc
+++ b/src/gateway/platform_state.cc
@@ -27,6 +27,8 @@
 constexpr milliseconds announceRetry{500};
 // An endpoint's entry that goes within this time of an outage of the store may have lapsed.
 constexpr milliseconds lapseWindow{3000};
+// At least one in so many entries goes when entries lapse.
+constexpr std::size_t lapsedPart = 3;
 constexpr seconds housekeepingInterval{5};
 // Callers keep the list of addresses for a while after this daemon has left it.
 constexpr milliseconds shortestShutdown{3200};
@@ -303,14 +305,21 @@
     }
 }
 
-bool gateway::implementation::entriesMayHaveLapsed(time_point now) const
+// Entries lapse together while the store is away; one that goes alone has left.
+bool gateway::implementation::entriesMayHaveLapsed(const internal::watch_update &update, time_point now) const
 {
-    return m_store.paths().wasDownWithin(lapseWindow, now);
+    const auto gone = static_cast<std::size_t>(
+        std::ranges::count_if(update.records, [](const auto &record) { return record.value.empty(); }));
+    const auto missing = update.listed.has_value() && update.listed->size() < m_pool.size()
+        ? m_pool.size() - update.listed->size()
+        : 0;
+    return m_store.paths().wasDownWithin(lapseWindow, now)
+        && std::max(gone, missing) * lapsedPart >= std::max<std::size_t>(m_pool.size(), 1);
 }
 
 void gateway::implementation::applyEndpoints(const internal::watch_update &update, time_point now)
 {
-    const bool lapsed = entriesMayHaveLapsed(now);
+    const bool lapsed = entriesMayHaveLapsed(update, now);
     for (const auto &record : update.records) {
         if (record.value.empty()) {
             m_pool.withdraw(record.key, lapsed, now);
