Delete old turns from the store; end silent connections; address lists live for 0.5 s

Change: each daemon deletes what lies before its last visit to a partition, if that is 90 s ago. Test: Turns.OldOnesAreDeleted. Cause 2: a kept connection that something between the ends has lost track of takes a request and never answers. Change: keep-alive probes and TCP_USER_TIMEOUT on all connections (2 s towards servers and daemons, 10 s towards callers). No test without a network that drops packets; open. The store of gateway_world now checks the condition of an append.

--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -134,6 +134,29 @@
     EXPECT_EQ(unknown.status, 404);
 }
 
+// Guards against a store that fills up with turns: 400 MB are there within minutes of normal load.
+TEST(Turns, OldOnesAreDeleted)
+{
+    gateway_world world({.daemons = 1, .parts = 1, .turnTopics = 1});
+    world.settle();
+    std::string previous;
+    for (int i = 0; i < 120; ++i) {
+        const auto attempt = fmt::format("a{}", i);
+        auto &answer = world.ask(0, turnOf(fmt::format("p{}", i), attempt, 1000, i % 3 == 0 ? "" : previous));
+        world.runFor(3s);
+        ASSERT_EQ(answer.status, 200) << i;
+        previous = attempt;
+    }
+    EXPECT_LT(world.recordsIn("turns"), 80U); // 120 in 360 s; two visits cover 180 s.
+    EXPECT_GT(world.recordsIn("turns"), 25U); // Those of the last 75 s are there in any case.
+    world.kill(0);
+    world.start(0);
+    world.settle();
+    auto &kept = world.ask(0, turnOf("q", "b", 1000, "a100")); // 60 s old.
+    world.runFor(1s);
+    EXPECT_EQ(kept.status, 200);
+}
+
 // Guards against a stream that looks complete although its turn could not be written.
 TEST(Turns, UnwrittenTurnBreaksTheAnswerOff)
 {
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -130,6 +130,7 @@
     // A turn lies in the first of its two places; in the second one if the first could not be written.
     [[nodiscard]] store::partition turnPartition(const std::string &turn, bool second) const;
     void saveTurn(call &value, time_point now);
+    void trimBehind(const store::partition &where, std::uint64_t offset, time_point now);
 
     // dispatching.cc
     void dispatch(call &value, time_point now);
@@ -151,6 +152,7 @@
     void complete(const internal::for_watch &owner, const store::reply &result, time_point now);
     void complete(const internal::for_turn &owner, const store::reply &result, time_point now);
     void complete(const internal::for_presence &owner, const store::reply &result, time_point now);
+    void complete(const internal::for_nobody &owner, const store::reply &result, time_point now);
     void complete(const internal::for_probe &owner, const store::reply &result, time_point now);
     void complete(const internal::for_peer &owner, const store::reply &result, time_point now);
     void onLogOutput(store::start_call &output, time_point now);
@@ -201,6 +203,8 @@
     std::map<dispatch_id, caller_id> m_dispatches;
     std::uint64_t m_lastDispatch = 0;
     std::map<store::ticket_id, ticket_owner> m_tickets;
+    // An offset of a partition of turns and when this daemon wrote there.
+    std::map<store::partition, std::pair<std::uint64_t, time_point>> m_marks;
     std::map<store::partition, time_point> m_failingUntil; // Partitions in which no turn is saved for a while.
 
     time_point m_lastEnd{}; // Of a request.
--- a/src/gateway/internal/store_access.h
+++ b/src/gateway/internal/store_access.h
@@ -42,6 +42,11 @@
 {
 };
 
+// A call that nothing waits for.
+struct for_nobody
+{
+};
+
 // A call that only shows whether the store can be reached.
 struct for_probe
 {
@@ -60,7 +65,8 @@
 };
 
 using store_owner =
-    std::variant<for_partition_log, for_budgets, for_watch, for_turn, for_presence, for_probe, for_peer>;
+    std::variant<for_partition_log, for_budgets, for_watch, for_turn, for_presence, for_nobody,
+                 for_probe, for_peer>;
 
 struct store_completion
 {
--- a/src/gateway/platform_state.cc
+++ b/src/gateway/platform_state.cc
@@ -181,6 +181,14 @@
     m_announceAt = done ? time_point::max() : now + announceRetry;
 }
 
+void gateway::implementation::complete(const internal::for_nobody & /*owner*/, const store::reply &result,
+                                       time_point /*now*/)
+{
+    if (const auto *reason = std::get_if<store::failure>(&result)) {
+        log(log_level::Debug, "trim_failed", {{"reason", store::nameOf(*reason)}}); // The next one reaches further.
+    }
+}
+
 void gateway::implementation::complete(const internal::for_probe & /*owner*/, const store::reply & /*result*/,
                                        time_point now)
 {
--- a/src/gateway/testing/gateway_world.cc
+++ b/src/gateway/testing/gateway_world.cc
@@ -96,6 +96,8 @@
         const auto found = m_entries.find(std::string(text));
         return found == m_entries.end() ? std::nullopt : std::optional(found->second);
     };
+    options.layout.turnTopics = m_options.turnTopics;
+    options.layout.partsPerTopic = m_options.parts;
     options.seed = m_random();
     ++state.life;
     state.core = std::make_unique<gateway>(std::move(options));
@@ -387,6 +389,9 @@
 {
     auto &records = m_partitions[what.where].records;
     const std::uint64_t first = records.size();
+    if (what.at.has_value() && *what.at != first) {
+        return store::conflict{first};
+    }
     for (const auto &value : what.records) {
         records.push_back({.offset = records.size(), .key = {}, .value = value});
     }
@@ -402,12 +407,22 @@
 
 store::reply gateway_world::execute(const store::read_call &what)
 {
-    const auto &records = m_partitions[what.where].records;
+    const auto &[records, first] = m_partitions[what.where];
+    if (what.from < first) {
+        return store::expired{first};
+    }
     const auto from = std::min<std::size_t>(what.from, records.size());
     return store::records_read{
         records.size(), {records.begin() + static_cast<std::ptrdiff_t>(from), records.end()}, records.size()};
 }
 
+store::reply gateway_world::execute(const store::trim_call &what)
+{
+    auto &content = m_partitions[what.where];
+    content.first = std::max(content.first, what.before);
+    return store::trimmed{};
+}
+
 store::reply gateway_world::execute(const store::newest_call &what)
 {
     const auto &records = m_partitions[what.where].records;
@@ -447,7 +462,7 @@
 {
     std::size_t count = 0;
     for (const auto &[where, content] : m_partitions) {
-        count += where.topic.starts_with(topicPrefix) ? content.records.size() : 0;
+        count += where.topic.starts_with(topicPrefix) ? content.records.size() - content.first : 0;
     }
     return count;
 }
--- a/src/gateway/testing/gateway_world.h
+++ b/src/gateway/testing/gateway_world.h
@@ -65,6 +65,8 @@
     std::chrono::milliseconds eventGap{20};
     int eventsPerTurn = 3;
     std::chrono::milliseconds serviceTime{30};
+    std::uint32_t parts = 12;
+    std::uint32_t turnTopics = 80;
     bool printLog = false; // For a look at a failing test.
 };
 
@@ -138,6 +140,7 @@
     struct stored_partition
     {
         std::vector<store::record> records;
+        std::uint64_t first = 0; // Records before it are deleted.
     };
 
     struct link_end
@@ -172,6 +175,7 @@
     store::reply execute(const store::put_call &what);
     store::reply execute(const store::read_call &what);
     store::reply execute(const store::newest_call &what);
+    store::reply execute(const store::trim_call &what);
     [[nodiscard]] int daemonAt(const std::string &peerAddress) const;
     caller_view *viewOf(int daemon, caller_id caller);
     void loseCallers(int daemon);
--- a/src/gateway/turns.cc
+++ b/src/gateway/turns.cc
@@ -25,6 +25,8 @@
 // After this, or a few usual times of the store, the turn is written to its second place.
 constexpr milliseconds firstPlaceTimeout{250};
 constexpr int firstPlaceTimes = 3;
+// Fewer records are not worth a call.
+constexpr std::uint64_t fewestTrimmed = 3;
 // How long a partition that failed is passed over.
 constexpr milliseconds failingTime{2000};
 
@@ -170,10 +172,25 @@
         return;
     }
     m_turns.add(turn, std::move(value.history), {where, result.offset}, now);
+    trimBehind(where, result.offset, now);
     m_out.emplace_back(end_answer{value.id});
     finishCall(value, internal::answeredOutcome, now);
 }
 
+// Each daemon deletes what lies before its own last visit to the partition, if that was long enough ago. Without this the
+// store would be full within minutes of normal load.
+void gateway::implementation::trimBehind(const store::partition &where, std::uint64_t offset, time_point now)
+{
+    const auto [mark, isNew] = m_marks.try_emplace(where, offset, now);
+    if (isNew || now - mark->second.second < m_options.keepTurns) {
+        return;
+    }
+    if (offset - mark->second.first >= fewestTrimmed) {
+        startStoreCall(internal::for_nobody{}, store::trim_call{where, mark->second.first}, now);
+    }
+    mark->second = {offset, now};
+}
+
 std::uint32_t gateway::implementation::tokensHandedOver(const call &value) const
 {
     const auto *service = value.table->findService(value.service);
--- a/src/gateway_settings/gateway_settings.h
+++ b/src/gateway_settings/gateway_settings.h
@@ -34,7 +34,7 @@
     std::uint32_t programTopics = 1;
     std::uint32_t turnTopics = 80;
     // [callers]
-    std::chrono::milliseconds directoryLife{1000}; // How long callers keep a list of addresses.
+    std::chrono::milliseconds directoryLife{500}; // How long callers keep a list of addresses.
     std::uint64_t maxBodyBytes = 4U << 20U;
     std::uint32_t maxConnections = 4096;
     // [shutdown]
@@ -42,6 +42,7 @@
     // [turns]
     std::uint64_t turnCacheBytes = 4U << 20U;
     std::chrono::milliseconds turnRetention{300000}; // Of records in the store.
+    std::chrono::milliseconds keepTurns{90000}; // Longer than any route keeps its turns; older ones are deleted.
 };
 
 struct parsed_gateway_settings
--- a/src/net/internal/transport.cc
+++ b/src/net/internal/transport.cc
@@ -28,6 +28,36 @@
 constexpr std::size_t maxReceivedPerTurn = 1U << 20U;
 constexpr int backlog = 1024;
 
+// Something between the two ends can lose track of a connection, which is then silent for good. Data without
+// acknowledgement and probes of idle connections show it. Servers and other daemons are near; callers may be slow.
+struct liveness_times
+{
+    std::chrono::milliseconds unacknowledged;
+    std::chrono::seconds idleBeforeProbe;
+    std::chrono::seconds betweenProbes;
+    int probes;
+};
+
+constexpr liveness_times outgoingTimes{std::chrono::milliseconds(2000), std::chrono::seconds(1),
+                                       std::chrono::seconds(1), 2};
+constexpr liveness_times incomingTimes{std::chrono::milliseconds(10000), std::chrono::seconds(5),
+                                       std::chrono::seconds(2), 3};
+
+template<typename T> void setOption(int socket, int level, int name, T value)
+{
+    const auto number = static_cast<int>(value);
+    ::setsockopt(socket, level, name, &number, sizeof(number));
+}
+
+void setLiveness(int socket, const liveness_times &times)
+{
+    setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, times.unacknowledged.count());
+    setOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, times.idleBeforeProbe.count());
+    setOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, times.betweenProbes.count());
+    setOption(socket, IPPROTO_TCP, TCP_KEEPCNT, times.probes);
+}
+
 sigset_t handledSignals()
 {
     sigset_t signals;
@@ -387,8 +417,8 @@
 
 connection_ptr transport::adopt(int socket, bool open)
 {
-    const int on = 1;
-    ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    setOption(socket, IPPROTO_TCP, TCP_NODELAY, 1);
+    setLiveness(socket, open ? incomingTimes : outgoingTimes);
     auto link = std::make_shared<connection>(socket, open);
     link->m_wsi = adoptDescriptor(socket, link.get());
     if (link->m_wsi == nullptr) {
--- a/src/peers/internal/peer_messages_generated.h
+++ b/src/peers/internal/peer_messages_generated.h
@@ -61,33 +61,36 @@
   Read = 1,
   Newest = 2,
   Put = 3,
+  Trim = 4,
   MIN = Append,
-  MAX = Put
+  MAX = Trim
 };
 
-inline const CallKind (&EnumValuesCallKind())[4] {
+inline const CallKind (&EnumValuesCallKind())[5] {
   static const CallKind values[] = {
     CallKind::Append,
     CallKind::Read,
     CallKind::Newest,
-    CallKind::Put
+    CallKind::Put,
+    CallKind::Trim
   };
   return values;
 }
 
 inline const char * const *EnumNamesCallKind() {
-  static const char * const names[5] = {
+  static const char * const names[6] = {
     "Append",
     "Read",
     "Newest",
     "Put",
+    "Trim",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameCallKind(CallKind e) {
-  if (flatbuffers::IsOutRange(e, CallKind::Append, CallKind::Put)) return "";
+  if (flatbuffers::IsOutRange(e, CallKind::Append, CallKind::Trim)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesCallKind()[index];
 }
@@ -99,37 +102,40 @@
   NewestPage = 3,
   Failure = 4,
   Conflict = 5,
+  Trimmed = 6,
   MIN = Appended,
-  MAX = Conflict
+  MAX = Trimmed
 };
 
-inline const ReplyKind (&EnumValuesReplyKind())[6] {
+inline const ReplyKind (&EnumValuesReplyKind())[7] {
   static const ReplyKind values[] = {
     ReplyKind::Appended,
     ReplyKind::RecordsRead,
     ReplyKind::Expired,
     ReplyKind::NewestPage,
     ReplyKind::Failure,
-    ReplyKind::Conflict
+    ReplyKind::Conflict,
+    ReplyKind::Trimmed
   };
   return values;
 }
 
 inline const char * const *EnumNamesReplyKind() {
-  static const char * const names[7] = {
+  static const char * const names[8] = {
     "Appended",
     "RecordsRead",
     "Expired",
     "NewestPage",
     "Failure",
     "Conflict",
+    "Trimmed",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameReplyKind(ReplyKind e) {
-  if (flatbuffers::IsOutRange(e, ReplyKind::Appended, ReplyKind::Conflict)) return "";
+  if (flatbuffers::IsOutRange(e, ReplyKind::Appended, ReplyKind::Trimmed)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesReplyKind()[index];
 }
--- a/src/peers/peers.cc
+++ b/src/peers/peers.cc
@@ -74,6 +74,13 @@
             .Union();
     }
 
+    any_offset operator()(const store::trim_call &what) const
+    {
+        return fbs::CreateStoreCall(out, id, fbs::CallKind::Trim, out.CreateString(what.where.topic),
+                                    what.where.number, 0, what.before)
+            .Union();
+    }
+
     any_offset operator()(const store::put_call &what) const
     {
         const auto topic = out.CreateString(what.where.topic);
@@ -111,6 +118,11 @@
         return fbs::CreateStoreReply(out, id, fbs::ReplyKind::Appended, result.offset).Union();
     }
 
+    any_offset operator()(const store::trimmed & /*result*/) const
+    {
+        return fbs::CreateStoreReply(out, id, fbs::ReplyKind::Trimmed).Union();
+    }
+
     any_offset operator()(const store::conflict &result) const
     {
         return fbs::CreateStoreReply(out, id, fbs::ReplyKind::Conflict, 0, result.end).Union();
@@ -227,6 +239,8 @@
                                               .keyed = body.keyed()}};
     case fbs::CallKind::Newest:
         return store_request{body.id(), store::newest_call{where, unpack(body.key())}};
+    case fbs::CallKind::Trim:
+        return store_request{body.id(), store::trim_call{where, body.from()}};
     case fbs::CallKind::Put: {
         auto records = unpackRecords(body);
         if (records.size() == 1) {
@@ -260,6 +274,8 @@
         return store_response{body.id(), store::expired{body.offset()}};
     case fbs::ReplyKind::NewestPage:
         return store_response{body.id(), store::newest_page{unpackRecords(body), body.more(), body.end()}};
+    case fbs::ReplyKind::Trimmed:
+        return store_response{body.id(), store::trimmed{}};
     case fbs::ReplyKind::Conflict:
         return store_response{body.id(), store::conflict{body.end()}};
     case fbs::ReplyKind::Failure:
--- a/src/peers/peers_test.cc
+++ b/src/peers/peers_test.cc
@@ -19,6 +19,8 @@
             store_request{1, store::append_call{where, {binary, ""}, std::nullopt}},
             store_request{1, store::append_call{where, {binary}, 0}},
             store_response{1, store::conflict{12}},
+            store_request{1, store::trim_call{where, 12}},
+            store_response{1, store::trimmed{}},
             store_request{2, store::read_call{where, 17, 250ms, 64, true}},
             store_request{3, store::newest_call{where, "after"}},
             store_request{4, store::put_call{where, "key", binary}},
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -61,7 +61,15 @@
     bool operator==(const put_call &) const = default;
 };
 
-using call = std::variant<append_call, read_call, newest_call, put_call>;
+// Deletes the records before an offset.
+struct trim_call
+{
+    partition where;
+    std::uint64_t before = 0;
+    bool operator==(const trim_call &) const = default;
+};
+
+using call = std::variant<append_call, read_call, newest_call, put_call, trim_call>;
 
 [[nodiscard]] std::string_view nameOf(const call &what); // Such as "append".
 
@@ -73,6 +81,11 @@
     bool operator==(const record &) const = default;
 };
 
+struct trimmed
+{
+    bool operator==(const trimmed &) const = default;
+};
+
 struct appended
 {
     std::uint64_t offset = 0; // Of the first record.
@@ -118,7 +131,7 @@
 
 [[nodiscard]] std::string_view nameOf(failure value);
 
-using reply = std::variant<appended, conflict, records_read, expired, newest_page, failure>;
+using reply = std::variant<appended, trimmed, conflict, records_read, expired, newest_page, failure>;
 
 // How a call reaches the store.
 enum class path : std::uint8_t {
