--- a/src/daemon/daemon_test.cc
+++ b/src/daemon/daemon_test.cc
@@ -1,5 +1,5 @@
-#include "daemon/internal/admin_server.h"
 #include "base64/base64.h"
+#include "daemon/internal/admin_server.h"
 #include "daemon/internal/caller_server.h"
 #include "daemon/internal/endpoint_client.h"
 #include "daemon/internal/peer_links.h"
--- a/src/gateway/budgets.cc
+++ b/src/gateway/budgets.cc
@@ -119,8 +119,8 @@
     return decisionTime + m_store.usualTime() * callsOfDecision;
 }
 
-void gateway::implementation::askHere(const programs::reservation &what, const budget_asker &asker,
-                                      time_point deadline, time_point now)
+void gateway::implementation::askHere(const programs::reservation &what, const budget_asker &asker, time_point deadline,
+                                      time_point now)
 {
     m_budgetAskers.emplace(what.attempt, asker);
     budgetsOf(programPartition(what.program)).ask(what, deadline, now);
@@ -183,11 +183,10 @@
     value.reservationPending = false;
     switch (answer) {
     case programs::budget_answer::Denied:
-        logCall(log_level::Info, "budget_exceeded", value,
-                {{"budget", *value.request.tokenBudget},
-                 {"asked", value.request.maxOutputTokens},
-                 {"decider", decider}},
-                now);
+        logCall(
+            log_level::Info, "budget_exceeded", value,
+            {{"budget", *value.request.tokenBudget}, {"asked", value.request.maxOutputTokens}, {"decider", decider}},
+            now);
         value.lastAsked.reset(); // A denied reservation holds nothing.
         refuseCall(value, 402, std::nullopt, "budget_exceeded", now);
         return;
@@ -212,9 +211,11 @@
     std::visit(
         [&](const auto &body) {
             using message_type = std::decay_t<decltype(body)>;
-            constexpr bool handledElsewhere = std::is_same_v<message_type, peers::hello>
-                || std::is_same_v<message_type, peers::beat> || std::is_same_v<message_type, peers::store_request>
-                || std::is_same_v<message_type, peers::store_response>;
+            constexpr bool handledElsewhere =
+                std::is_same_v<
+                    message_type,
+                    peers::
+                        hello> || std::is_same_v<message_type, peers::beat> || std::is_same_v<message_type, peers::store_request> || std::is_same_v<message_type, peers::store_response>;
             if constexpr (!handledElsewhere) {
                 on(what.link, body, now);
             }
@@ -366,7 +367,9 @@
 std::optional<time_point> gateway::implementation::nextBudgetDeadline() const
 {
     std::optional<time_point> earliest;
-    const auto consider = [&earliest](time_point when) { earliest = std::min(earliest.value_or(when), when); };
+    const auto consider = [&earliest](time_point when) {
+        earliest = std::min(earliest.value_or(when), when);
+    };
     for (const auto &[where, budgets] : m_budgets) {
         if (const auto due = budgets.nextDeadline(); due.has_value()) {
             consider(*due);
--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -176,6 +176,7 @@
     gateway_world world({.daemons = 3});
     world.settle();
     std::vector<caller_view *> views;
+    views.reserve(9);
     for (int i = 0; i < 9; ++i) {
         views.push_back(&world.ask(i % 3, turnOf("p", fmt::format("a{}", i), 200))); // Room for three of 60 tokens.
     }
@@ -379,8 +380,8 @@
     EXPECT_EQ(world.runsOf("a"), 0);
 }
 
-// Guards against an endpoint that left right after an outage and stays in use as if its entry had lapsed (hunt-90d3-3 and
-// hunt-222a-11 of klitvagt-serve: DRAIN), and against refusing everything when all entries lapsed.
+// Guards against an endpoint that left right after an outage and stays in use as if its entry had lapsed (hunt-90d3-3
+// and hunt-222a-11 of klitvagt-serve: DRAIN), and against refusing everything when all entries lapsed.
 TEST(Endpoints, OnlyEntriesThatGoTogetherMayHaveLapsed)
 {
     gateway_world world({.daemons = 1, .engines = 4, .shops = 2});
--- a/src/gateway/internal/retry_times.h
+++ b/src/gateway/internal/retry_times.h
@@ -7,7 +7,8 @@
 namespace jackdawpick::gateway::internal
 {
 
-// Outages of the store last for seconds; callers come back as late as they can, so that their few attempts reach further.
+// Outages of the store last for seconds; callers come back as late as they can, so that their few attempts reach
+// further.
 inline constexpr std::chrono::milliseconds storeRetry{1000};
 
 } // namespace jackdawpick::gateway::internal
--- a/src/gateway/internal/store_access.cc
+++ b/src/gateway/internal/store_access.cc
@@ -131,8 +131,8 @@
 
 std::optional<time_point> store_access::nextDeadline() const
 {
-    const auto first = std::ranges::min_element(m_relayed, std::less<>(),
-                                                [](const auto &item) { return item.second.deadline; });
+    const auto first =
+        std::ranges::min_element(m_relayed, std::less<>(), [](const auto &item) { return item.second.deadline; });
     return first == m_relayed.end() ? std::nullopt : std::optional(first->second.deadline);
 }
 
--- a/src/gateway/internal/store_access.h
+++ b/src/gateway/internal/store_access.h
@@ -65,8 +65,7 @@
 };
 
 using store_owner =
-    std::variant<for_partition_log, for_budgets, for_watch, for_turn, for_presence, for_nobody,
-                 for_probe, for_peer>;
+    std::variant<for_partition_log, for_budgets, for_watch, for_turn, for_presence, for_nobody, for_probe, for_peer>;
 
 struct store_completion
 {
--- a/src/gateway/platform_state.cc
+++ b/src/gateway/platform_state.cc
@@ -195,8 +195,7 @@
     m_probeAt = now + probeInterval;
 }
 
-void gateway::implementation::complete(const internal::for_peer &owner, const store::reply &result,
-                                       time_point /*now*/)
+void gateway::implementation::complete(const internal::for_peer &owner, const store::reply &result, time_point /*now*/)
 {
     m_out.emplace_back(send_message{owner.link, peers::store_response{owner.request, result}});
 }
@@ -318,9 +317,8 @@
 {
     const auto gone = static_cast<std::size_t>(
         std::ranges::count_if(update.records, [](const auto &record) { return record.value.empty(); }));
-    const auto missing = update.listed.has_value() && update.listed->size() < m_pool.size()
-        ? m_pool.size() - update.listed->size()
-        : 0;
+    const auto missing =
+        update.listed.has_value() && update.listed->size() < m_pool.size() ? m_pool.size() - update.listed->size() : 0;
     return m_store.paths().wasDownWithin(lapseWindow, now)
         && std::max(gone, missing) * lapsedPart >= std::max<std::size_t>(m_pool.size(), 1);
 }
--- a/src/gateway/testing/gateway_world.cc
+++ b/src/gateway/testing/gateway_world.cc
@@ -42,12 +42,12 @@
                                     .kind = routing::repetition::NonIdempotent,
                                     .timeout = 2000ms,
                                     .services = {{"shop", 1}}};
-    return {.version = 1,
-            .routes = {model, read, pay},
-            .services = {{.name = "engines",
-                          .engine = routing::engine_profile{.slots = 4,
-                                                            .tokensPerEvent = gateway_world::tokensPerEvent}},
-                         {.name = "shop", .engine = std::nullopt}}};
+    return {
+        .version = 1,
+        .routes = {model, read, pay},
+        .services = {{.name = "engines",
+                      .engine = routing::engine_profile{.slots = 4, .tokensPerEvent = gateway_world::tokensPerEvent}},
+                     {.name = "shop", .engine = std::nullopt}}};
 }
 
 } // namespace
@@ -58,11 +58,17 @@
 {
     publish(initialConfiguration());
     for (int i = 0; i < options.engines; ++i) {
-        putEndpoint({.id = fmt::format("engine-{}", i), .service = "engines", .address = fmt::format("e{}", i),
-                     .zone = "z", .slots = 4});
+        putEndpoint({.id = fmt::format("engine-{}", i),
+                     .service = "engines",
+                     .address = fmt::format("e{}", i),
+                     .zone = "z",
+                     .slots = 4});
     }
     for (int i = 0; i < options.shops; ++i) {
-        putEndpoint({.id = fmt::format("shop-{}", i), .service = "shop", .address = fmt::format("s{}", i), .zone = "z",
+        putEndpoint({.id = fmt::format("shop-{}", i),
+                     .service = "shop",
+                     .address = fmt::format("s{}", i),
+                     .zone = "z",
                      .slots = 4});
     }
     m_daemons.resize(static_cast<std::size_t>(options.daemons));
@@ -295,14 +301,16 @@
 void gateway_world::runAtEndpoint(int daemon, int life, const start_dispatch &what)
 {
     const auto mood = endpoints.contains(what.endpoint) ? endpoints.at(what.endpoint) : endpoint_mood::Answers;
-    const auto send = [=, this](milliseconds delay, event content) {
+    const auto send = [=, this](milliseconds delay, const event &content) {
         after(delay, [=, this] {
             if (m_open.contains({daemon, what.dispatch})) {
                 feed(daemon, life, content);
             }
         });
     };
-    const auto end = [&](milliseconds delay, dispatch_end how) { send(delay, endpoint_end{what.dispatch, how}); };
+    const auto end = [&](milliseconds delay, dispatch_end how) {
+        send(delay, endpoint_end{what.dispatch, how});
+    };
     if (mood == endpoint_mood::Unreachable) {
         end(0ms, dispatch_end::NotSent);
         return;
@@ -325,8 +333,9 @@
     const auto gap = stream ? m_options.eventGap : m_options.serviceTime;
     const auto content = stream ? std::string() : "done:" + what.attempt;
     const auto length = stream ? std::nullopt : std::optional<std::uint64_t>(content.size());
-    send(gap, endpoint_head{.dispatch = what.dispatch, .status = 200, .genuine = true, .headers = headers,
-                            .contentLength = length});
+    send(gap,
+         endpoint_head{
+             .dispatch = what.dispatch, .status = 200, .genuine = true, .headers = headers, .contentLength = length});
     const int passed = mood == endpoint_mood::BreaksOff ? pieces / 2 : pieces;
     for (int i = 1; i <= passed; ++i) {
         const auto text = stream ? fmt::format("id: {0}\ndata: {1}-{0}\n\n", i, what.attempt) : content;
@@ -353,7 +362,7 @@
     ++storeCalls;
     const int life = m_daemons.at(static_cast<std::size_t>(daemon)).life;
     const auto &mood = stores[daemon];
-    const auto answer = [=, this](milliseconds delay, store::reply result) {
+    const auto answer = [=, this](milliseconds delay, const store::reply &result) {
         after(delay, [=, this] { feed(daemon, life, store_replied{what.call, result}); });
     };
     const auto topic = std::visit([](const auto &body) { return body.where.topic; }, what.what);
@@ -371,11 +380,11 @@
     const auto wait = read == nullptr ? 0ms : read->wait;
     const auto half = mood.delay / 2;
     after(half + wait, [=, this] {
-        auto result = execute(what.what);
+        const auto result = execute(what.what);
         if (lost) {
             answer(what.timeout, store::failure::NoReply);
         } else {
-            answer(mood.delay - half, std::move(result));
+            answer(mood.delay - half, result);
         }
     });
 }
--- a/src/gateway/turns.cc
+++ b/src/gateway/turns.cc
@@ -177,8 +177,8 @@
     finishCall(value, internal::answeredOutcome, now);
 }
 
-// Each daemon deletes what lies before its own last visit to the partition, if that was long enough ago. Without this the
-// store would be full within minutes of normal load.
+// Each daemon deletes what lies before its own last visit to the partition, if that was long enough ago. Without this
+// the store would be full within minutes of normal load.
 void gateway::implementation::trimBehind(const store::partition &where, std::uint64_t offset, time_point now)
 {
     const auto [mark, isNew] = m_marks.try_emplace(where, offset, now);
--- a/src/gateway_daemon/framed_links.cc
+++ b/src/gateway_daemon/framed_links.cc
@@ -47,8 +47,12 @@
     handlers.connected = [this, link = what.link](net::stream_id) {
         m_onEvent(gateway::link_opened{.link = link});
     };
-    handlers.received = [this, link = what.link](net::stream_id, std::string_view bytes) { onReceived(link, bytes); };
-    handlers.closed = [this, link = what.link](net::stream_id) { onClosed(link); };
+    handlers.received = [this, link = what.link](net::stream_id, std::string_view bytes) {
+        onReceived(link, bytes);
+    };
+    handlers.closed = [this, link = what.link](net::stream_id) {
+        onClosed(link);
+    };
     m_links[what.link].stream = m_loop.connectTcp(what.address, std::move(handlers));
 }
 
--- a/src/gateway_daemon/gateway_daemon.cc
+++ b/src/gateway_daemon/gateway_daemon.cc
@@ -211,8 +211,7 @@
             return;
         }
         setGauges();
-        m_loop.respond(request.id, {.contentType = "text/plain; version=0.0.4"},
-                       m_metrics.exposition(m_clock.now()));
+        m_loop.respond(request.id, {.contentType = "text/plain; version=0.0.4"}, m_metrics.exposition(m_clock.now()));
     });
 }
 
--- a/src/logging/logging.cc
+++ b/src/logging/logging.cc
@@ -86,9 +86,9 @@
     }
     const auto wall = std::chrono::floor<std::chrono::milliseconds>(std::chrono::system_clock::now());
     const auto milliseconds = wall.time_since_epoch().count() % 1000;
-    const auto line = fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z {}\n",
-                                  fmt::gmtime(std::chrono::system_clock::to_time_t(wall)), milliseconds,
-                                  format(level, event, fields));
+    const auto line =
+        fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z {}\n", fmt::gmtime(std::chrono::system_clock::to_time_t(wall)),
+                    milliseconds, format(level, event, fields));
     if (!toStandardOutput) {
         fmt::print(stderr, "{}", line);
     } else if (pendingText.size() + line.size() > maxPendingBytes) {
--- a/src/net/net.cc
+++ b/src/net/net.cc
@@ -98,8 +98,7 @@
 
 client_id loop::request(client_request request, result_handler onResult, chunk_handler onChunk, head_handler onHead)
 {
-    return m_impl->client.request(std::move(request),
-                                  {std::move(onResult), std::move(onChunk), std::move(onHead)});
+    return m_impl->client.request(std::move(request), {std::move(onResult), std::move(onChunk), std::move(onHead)});
 }
 
 void loop::cancel(client_id id)
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -154,8 +154,8 @@
     // Bytes accepted by writeStream() and not yet written to the socket.
     [[nodiscard]] std::size_t bufferedBytes(request_id id) const;
 
-    // Starts a request; `onChunk`, if set, gets the body of a 2xx answer as it arrives. With `onHead` it gets the body of
-    // every answer that `onHead` takes.
+    // Starts a request; `onChunk`, if set, gets the body of a 2xx answer as it arrives. With `onHead` it gets the body
+    // of every answer that `onHead` takes.
     client_id request(client_request request, result_handler onResult, chunk_handler onChunk = {},
                       head_handler onHead = {});
     // Closes the connection of the request; its handlers are not called any more.
--- a/src/peers/peers.cc
+++ b/src/peers/peers.cc
@@ -60,9 +60,9 @@
 
     any_offset operator()(const store::read_call &what) const
     {
-        return fbs::CreateStoreCall(out, id, fbs::CallKind::Read, out.CreateString(what.where.topic),
-                                    what.where.number, 0, what.from, static_cast<std::uint32_t>(what.wait.count()),
-                                    what.maxKilobytes, what.keyed)
+        return fbs::CreateStoreCall(out, id, fbs::CallKind::Read, out.CreateString(what.where.topic), what.where.number,
+                                    0, what.from, static_cast<std::uint32_t>(what.wait.count()), what.maxKilobytes,
+                                    what.keyed)
             .Union();
     }
 
@@ -76,8 +76,8 @@
 
     any_offset operator()(const store::trim_call &what) const
     {
-        return fbs::CreateStoreCall(out, id, fbs::CallKind::Trim, out.CreateString(what.where.topic),
-                                    what.where.number, 0, what.before)
+        return fbs::CreateStoreCall(out, id, fbs::CallKind::Trim, out.CreateString(what.where.topic), what.where.number,
+                                    0, what.before)
             .Union();
     }
 
@@ -86,8 +86,7 @@
         const auto topic = out.CreateString(what.where.topic);
         const auto key = out.CreateString(what.key);
         const auto records = out.CreateVector(std::vector{fbs::CreateBytes(out, packBytes(out, what.value))});
-        return fbs::CreateStoreCall(out, id, fbs::CallKind::Put, topic, what.where.number, records, 0, 0, 0, true,
-                                    key)
+        return fbs::CreateStoreCall(out, id, fbs::CallKind::Put, topic, what.where.number, records, 0, 0, 0, true, key)
             .Union();
     }
 };
@@ -131,7 +130,8 @@
     any_offset operator()(const store::records_read &result) const
     {
         const auto records = packRecords(result.records);
-        return fbs::CreateStoreReply(out, id, fbs::ReplyKind::RecordsRead, result.next, result.end, false, 0, records).Union();
+        return fbs::CreateStoreReply(out, id, fbs::ReplyKind::RecordsRead, result.next, result.end, false, 0, records)
+            .Union();
     }
 
     any_offset operator()(const store::expired &result) const
@@ -198,8 +198,7 @@
 
 std::string unpack(const flatbuffers::Vector<std::uint8_t> *bytes)
 {
-    return bytes == nullptr ? std::string()
-                            : std::string(reinterpret_cast<const char *>(bytes->data()), bytes->size());
+    return bytes == nullptr ? std::string() : std::string(reinterpret_cast<const char *>(bytes->data()), bytes->size());
 }
 
 beat unpack(const fbs::Beat &body)
@@ -298,8 +297,8 @@
 std::optional<message> unpackBudgetOrTurn(const fbs::Message &root)
 {
     if (const auto *body = root.body_as_BudgetRequest()) {
-        return budget_request{body->id(),     unpack(body->program()), unpack(body->attempt()), body->tokens(),
-                              body->budget(), unpack(body->previous_turn())};
+        return budget_request{body->id(),     unpack(body->program()), unpack(body->attempt()),
+                              body->tokens(), body->budget(),          unpack(body->previous_turn())};
     }
     if (const auto *body = root.body_as_BudgetReply()) {
         return unpack(*body);
--- a/src/programs/budget_partition.cc
+++ b/src/programs/budget_partition.cc
@@ -127,8 +127,8 @@
 
 // ---- Appends ----
 
-// When the unwritten records are to be appended; nothing while they cannot be. A read may find own records, so none runs
-// beside an append.
+// When the unwritten records are to be appended; nothing while they cannot be. A read may find own records, so none
+// runs beside an append.
 std::optional<time_point> budget_partition::appendDue() const
 {
     if (m_mustRead || m_append.has_value() || m_read.has_value() || m_unwritten.empty()) {
@@ -160,7 +160,8 @@
         return; // The reply, or the retry, reads if something waits.
     }
     m_read = budget_call_id{++m_lastCall};
-    m_outputs.emplace_back(start_budget_call{.id = *m_read, .what = store::read_call{.where = m_where, .from = m_next}});
+    m_outputs.emplace_back(
+        start_budget_call{.id = *m_read, .what = store::read_call{.where = m_where, .from = m_next}});
 }
 
 void budget_partition::onReply(budget_call_id id, const store::reply &result, time_point now)
@@ -203,8 +204,9 @@
 {
     m_next = result.offset + m_inFlight;
     m_confirmed = now;
-    std::vector<unwritten> written(std::make_move_iterator(m_unwritten.begin()),
-                                   std::make_move_iterator(m_unwritten.begin() + static_cast<std::ptrdiff_t>(m_inFlight)));
+    std::vector<unwritten> written(
+        std::make_move_iterator(m_unwritten.begin()),
+        std::make_move_iterator(m_unwritten.begin() + static_cast<std::ptrdiff_t>(m_inFlight)));
     m_unwritten.erase(m_unwritten.begin(), m_unwritten.begin() + static_cast<std::ptrdiff_t>(m_inFlight));
     m_inFlight = 0;
     std::ranges::for_each(written, [&](const unwritten &entry) { m_written.apply(entry.record, now); });
@@ -272,8 +274,8 @@
 
 // ---- Time ----
 
-// A reservation whose verdict comes too late is taken back unless its append may have been executed. It is never settled
-// here: another daemon may have granted the same request meanwhile, and what it uses must count.
+// A reservation whose verdict comes too late is taken back unless its append may have been executed. It is never
+// settled here: another daemon may have granted the same request meanwhile, and what it uses must count.
 void budget_partition::expire(time_point now)
 {
     std::erase_if(m_waiting, [&](const question &entry) {
@@ -313,7 +315,9 @@
 std::optional<time_point> budget_partition::nextDeadline() const
 {
     std::optional<time_point> earliest = appendDue();
-    const auto consider = [&earliest](time_point when) { earliest = std::min(earliest.value_or(when), when); };
+    const auto consider = [&earliest](time_point when) {
+        earliest = std::min(earliest.value_or(when), when);
+    };
     if (m_retryAt.has_value()) {
         consider(*m_retryAt);
     }
--- a/src/programs/budget_partition_test.cc
+++ b/src/programs/budget_partition_test.cc
@@ -241,8 +241,8 @@
     EXPECT_FALSE(one.budgets.hasUnwritten());
 }
 
-// Guards against requests that wait for a part of the store that is known to be away, and against one that stays away for
-// good after it is back.
+// Guards against requests that wait for a part of the store that is known to be away, and against one that stays away
+// for good after it is back.
 TEST_F(budget_partition_test, QuestionsToAnAwayPartitionAreAnsweredAtOnce)
 {
     ask(one, "1");
@@ -265,8 +265,8 @@
     EXPECT_EQ(one.answerTo("4"), budget_answer::Granted);
 }
 
-// Guards against a read beside an append: it found the records of the append, which were then taken off the list a second
-// time, together with others that had not been written (a crash on klitvagt-serve, mix --seed 1062481154085).
+// Guards against a read beside an append: it found the records of the append, which were then taken off the list a
+// second time, together with others that had not been written (a crash on klitvagt-serve, mix --seed 1062481154085).
 TEST_F(budget_partition_test, NoAppendRunsBesideARead)
 {
     ask(one, "1", 100, 150);
@@ -282,8 +282,8 @@
     EXPECT_EQ(one.answerTo("3"), budget_answer::Granted);
 }
 
-// Guards against tokens that are forgotten because a daemon which answered too late settled the request with nothing, after
-// another one had granted it (scale-1 --seed 622016365041 of wanza-agents: a program got more than its budget).
+// Guards against tokens that are forgotten because a daemon which answered too late settled the request with nothing,
+// after another one had granted it (scale-1 --seed 622016365041 of wanza-agents: a program got more than its budget).
 TEST_F(budget_partition_test, LateDeciderForgetsNoTokens)
 {
     ask(one, "0");
--- a/src/programs/programs.h
+++ b/src/programs/programs.h
@@ -139,8 +139,8 @@
 
 // The budgets of all programs of one partition, as the daemon decides on them that writes there.
 //
-// A request is granted once its reservation is written, so that no crash loses one. Reservations that come while an append
-// is under way are appended together; settlements wait for the next reservation, or a little while.
+// A request is granted once its reservation is written, so that no crash loses one. Reservations that come while an
+// append is under way are appended together; settlements wait for the next reservation, or a little while.
 class budget_partition
 {
 public:
--- a/src/store/partition_log.h
+++ b/src/store/partition_log.h
@@ -40,8 +40,8 @@
     std::vector<record> records;
 };
 
-// The end of an append or of a catch-up. `done` is false if it could not be completed before its deadline; an append may
-// then still be executed later.
+// The end of an append or of a catch-up. `done` is false if it could not be completed before its deadline; an append
+// may then still be executed later.
 struct ticket_result
 {
     ticket_id ticket{};
--- a/src/store/path_selector.cc
+++ b/src/store/path_selector.cc
@@ -25,8 +25,8 @@
         m_lastServed = now;
         return;
     }
-    const bool servesOthers = *reason != failure::Refused && m_lastServed.has_value()
-        && now - *m_lastServed < servedGrace;
+    const bool servesOthers =
+        *reason != failure::Refused && m_lastServed.has_value() && now - *m_lastServed < servedGrace;
     m_failures += servesOthers ? 0 : 1;
     m_lastDown = directUp() ? m_lastDown : now;
 }
--- a/src/store/path_selector_test.cc
+++ b/src/store/path_selector_test.cc
@@ -28,8 +28,8 @@
     EXPECT_FALSE(paths.wasDownWithin(3s, clock.now()));
 }
 
-// Guards against a store that is taken as away because all daemons together call it too often: endpoints that leave were
-// then kept as if their entries had lapsed.
+// Guards against a store that is taken as away because all daemons together call it too often: endpoints that leave
+// were then kept as if their entries had lapsed.
 TEST(PathSelector, SharedRateLimitIsNoOutage)
 {
     manual_clock clock;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -6,11 +6,11 @@
 //   send(what);   // The reply is a store::reply.
 
 #include <chrono>
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -21,7 +21,11 @@
 {
     std::string topic;
     std::uint32_t number = 0;
-    auto operator<=>(const partition &) const = default;
+    bool operator==(const partition &) const = default;
+    bool operator<(const partition &other) const
+    {
+        return std::tie(topic, number) < std::tie(other.topic, other.number);
+    }
 };
 
 // Appends all records or none. A call without a reply may have been executed, or may be executed later.
