--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -25,7 +25,7 @@
     store::partition configuration; // Keyed; written by the operators.
     std::string configurationKey;
     store::partition endpoints; // Keyed by endpoint id; written by the endpoints.
-    store::partition daemons{"keyed.daemons", 0}; // Keyed by name; written by the daemons.
+    store::partition daemons; // Keyed by name; written by the daemons.
     std::uint32_t partsPerTopic = 12;
     std::uint32_t programTopics = 1;
     std::uint32_t turnTopics = 80;
@@ -39,7 +39,7 @@
     peers::hello self;
     log_layout layout;
     std::chrono::milliseconds shutdownLimit{7000}; // The process ends at the latest after this.
-    std::size_t turnCacheBytes = 4U << 20U;
+    std::size_t turnCacheBytes = 2U << 20U;
     std::chrono::milliseconds turnRetention{300000};
     std::chrono::milliseconds keepTurns{90000}; // Longer than any route keeps its turns; older ones are deleted.
     std::uint64_t seed = 1;
--- a/src/gateway/internal/keyed_watch.h
+++ b/src/gateway/internal/keyed_watch.h
@@ -3,7 +3,7 @@
 // Follows a keyed partition of the log: first the newest record of each key, then the changes; the list again when the
 // changes have expired.
 //
-//   keyed_watch watch({.where = {"keyed.op", 0}, .pause = 0ms, .wait = 1s});
+//   keyed_watch watch({.where = {"configuration", 0}, .pause = 0ms, .wait = 1s});
 //   if (auto call = watch.poll(now)) { ... }            // then watch.onReply(reply, now)
 
 #include "clock/clock.h"
--- a/src/gateway/testing/gateway_world.cc
+++ b/src/gateway/testing/gateway_world.cc
@@ -15,8 +15,9 @@
 constexpr milliseconds linkDelay{2};
 constexpr milliseconds endpointDelay{2};
 
-const store::partition configurationPlace{"keyed.op", 0};
-const store::partition endpointPlace{"keyed.servers", 0};
+const store::partition configurationPlace{"configuration", 0};
+const store::partition endpointPlace{"endpoints", 0};
+const store::partition daemonPlace{"daemons", 0};
 
 routing::configuration initialConfiguration()
 {
@@ -94,6 +95,7 @@
     options.layout.configuration = configurationPlace;
     options.layout.configurationKey = "config";
     options.layout.endpoints = endpointPlace;
+    options.layout.daemons = daemonPlace;
     options.layout.decodeConfiguration = [this](std::string_view text) {
         const auto found = m_published.find(std::string(text));
         return found == m_published.end() ? std::nullopt : std::optional(found->second);
--- a/src/peers/peers_test.cc
+++ b/src/peers/peers_test.cc
@@ -47,7 +47,8 @@
 }
 
 // Guards against a crash on damaged messages.
-RC_GTEST_PROP(PeerMessages, DamagedBytesAreReadSafely, (const std::string &bytes, unsigned short position, unsigned char mask))
+RC_GTEST_PROP(PeerMessages, DamagedBytesAreReadSafely,
+              (const std::string &bytes, unsigned short position, unsigned char mask))
 {
     (void)decodeMessage(bytes);
     for (const auto &value : allMessages()) {
--- a/standins/emulator/emulated_log_test.cc
+++ b/standins/emulator/emulated_log_test.cc
@@ -35,7 +35,9 @@
     EXPECT_EQ(log.read("keyed.x", 0, 2), std::nullopt);
     EXPECT_EQ(log.first("keyed.x", 0), 3U);
     EXPECT_EQ(splitKeyed(""), std::nullopt);
-    EXPECT_EQ(splitKeyed("\x05" "ab"), std::nullopt);
+    EXPECT_EQ(splitKeyed("\x05"
+                         "ab"),
+              std::nullopt);
 }
 
 } // namespace jackdawpick::standins
--- a/standins/emulator/emulator_test.cc
+++ b/standins/emulator/emulator_test.cc
@@ -82,8 +82,8 @@
     }
 }
 
-// Guards against payments that run twice, refusals that are not true and changed chains while the store loses replies and
-// endpoints lose answers.
+// Guards against payments that run twice, refusals that are not true and changed chains while the store loses replies
+// and endpoints lose answers.
 TEST_F(emulator_test, LossesBreakNoPromise)
 {
     const auto report = run({.seed = 3, .losesReply = 0.2, .losesAnswer = 0.05}, {.programs = 30}, 2);
--- a/standins/emulator/platform_emulator.cc
+++ b/standins/emulator/platform_emulator.cc
@@ -101,9 +101,8 @@
         addEndpoint("shop", i, false);
     }
     publishConfiguration();
-    m_loop.every(heartbeatInterval, [this] {
-        std::ranges::for_each(m_endpoints, [this](const auto &which) { announce(*which); });
-    });
+    m_loop.every(heartbeatInterval,
+                 [this] { std::ranges::for_each(m_endpoints, [this](const auto &which) { announce(*which); }); });
     return fmt::format("{}:{}", listen.address, port);
 }
 
@@ -146,9 +145,8 @@
 
 void platform_emulator::reply(net::request_id id, std::uint16_t status, const json &body)
 {
-    m_loop.after(m_options.storeTime, [this, id, status, text = body.dump()] {
-        m_loop.respond(id, {.status = status}, text);
-    });
+    m_loop.after(m_options.storeTime,
+                 [this, id, status, text = body.dump()] { m_loop.respond(id, {.status = status}, text); });
 }
 
 void platform_emulator::append(const net::http_request &request)
@@ -177,8 +175,7 @@
                  [this, id = request.id, topic, part, from] { answerRead(id, topic, part, from); });
 }
 
-void platform_emulator::answerRead(net::request_id id, const std::string &topic, std::uint32_t part,
-                                   std::uint64_t from)
+void platform_emulator::answerRead(net::request_id id, const std::string &topic, std::uint32_t part, std::uint64_t from)
 {
     const auto records = m_log.read(topic, part, from);
     if (!records.has_value()) {
@@ -271,8 +268,9 @@
 {
     const auto attempt = headerOf(request, "x-attempt-id");
     const auto digest = bodyDigest(request.body);
-    m_loop.beginStream(request.id, {.contentType = "text/event-stream",
-                                    .headers = {{"X-Attempt-Id", attempt}, {"X-Server-Stamp", which.id}}});
+    m_loop.beginStream(
+        request.id,
+        {.contentType = "text/event-stream", .headers = {{"X-Attempt-Id", attempt}, {"X-Server-Stamp", which.id}}});
     for (int i = 1; i <= m_options.eventsPerTurn; ++i) {
         m_loop.after(m_options.eventGap * i, [this, id = request.id, attempt, digest, i] {
             const auto data = i == 1 ? fmt::format("digest {:016x}", digest) : fmt::format("{} {}", attempt, i);
@@ -290,10 +288,9 @@
     const auto attempt = headerOf(request, "x-attempt-id");
     m_loop.after(m_options.serviceTime, [this, &which, id = request.id, attempt] {
         --which.busy;
-        m_loop.respond(id,
-                       {.contentType = "text/plain",
-                        .headers = {{"X-Attempt-Id", attempt}, {"X-Server-Stamp", which.id}}},
-                       "done " + attempt);
+        m_loop.respond(
+            id, {.contentType = "text/plain", .headers = {{"X-Attempt-Id", attempt}, {"X-Server-Stamp", which.id}}},
+            "done " + attempt);
     });
 }
 
--- a/standins/emulator/program_driver.cc
+++ b/standins/emulator/program_driver.cc
@@ -22,8 +22,7 @@
 
 std::string headerIn(const net::client_result &result, std::string_view name)
 {
-    const auto found =
-        std::ranges::find(result.headers, name, &std::pair<std::string, std::string>::first);
+    const auto found = std::ranges::find(result.headers, name, &std::pair<std::string, std::string>::first);
     return found == result.headers.end() ? std::string() : found->second;
 }
 
