--- a/src/gateway/platform_state.cc
+++ b/src/gateway/platform_state.cc
@@ -18,7 +18,7 @@
 
 constexpr milliseconds configurationWait{1000};
 // Endpoints report about once a second each, so that a read that waits returns at once; the pause groups the changes.
-constexpr milliseconds endpointPause{500};
+constexpr milliseconds endpointPause{300};
 constexpr milliseconds endpointWait{500};
 constexpr milliseconds daemonPause{500};
 constexpr milliseconds daemonWait{2000};
--- a/src/gateway_settings/gateway_settings.h
+++ b/src/gateway_settings/gateway_settings.h
@@ -40,7 +40,7 @@
     // [shutdown]
     std::chrono::milliseconds shutdownLimit{7000}; // After SIGTERM the process ends at the latest after this.
     // [turns]
-    std::uint64_t turnCacheBytes = 2U << 20U;
+    std::uint64_t turnCacheBytes = 4U << 20U;
     std::chrono::milliseconds turnRetention{300000}; // Of records in the store.
     std::chrono::milliseconds keepTurns{90000}; // Longer than any route keeps its turns; older ones are deleted.
 };
