--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -326,6 +326,23 @@
     }
 }
 
+// Guards against programs that are refused because the daemon that decides on their budget has just lost the store,
+// which serves the others (inc-1322 of klitvagt-serve: 55 refusals while one daemon was cut off).
+TEST(Store, BudgetMovesOnFromADeciderThatLostIt)
+{
+    gateway_world world({.daemons = 3});
+    world.settle();
+    world.stores[1].away = true;
+    std::vector<caller_view *> views;
+    views.reserve(60);
+    for (int i = 0; i < 60; ++i) {
+        views.push_back(&world.ask(i % 2 == 0 ? 0 : 2, turnOf(fmt::format("p{}", i), fmt::format("a{}", i))));
+        world.runFor(20ms);
+    }
+    world.runFor(3s);
+    EXPECT_TRUE(std::ranges::all_of(views, [](const auto *view) { return view->status == 200 && view->complete; }));
+}
+
 // Guards against turns that wait for a store that is known to be away, and against a refusal without a time.
 TEST(Store, TurnsAreRefusedAtOnceWhileItIsAway)
 {
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -169,7 +169,8 @@
     void tickPeers(time_point now);
     void tickShutdown(time_point now);
     [[nodiscard]] std::optional<time_point> nextShutdownStep() const;
-    [[nodiscard]] peers::beat ownBeat() const;
+    [[nodiscard]] peers::beat ownBeat(time_point now) const;
+    void noteStoreState(time_point now);
     void log(log_level level, std::string_view name, std::vector<log_field> fields);
     [[nodiscard]] double random() const;
 
@@ -194,6 +195,7 @@
     time_point m_announceAt{};
     bool m_announceOpen = false;
     time_point m_housekeepingAt{};
+    bool m_storeSuspect = false; // The newest direct calls failed.
     bool m_storeSeen = true; // What the log last said of the store.
     bool m_beatNow = false; // Something changed that the other daemons should know at once.
 
--- a/src/gateway/internal/store_access.cc
+++ b/src/gateway/internal/store_access.cc
@@ -33,7 +33,7 @@
 {
     const bool probe = std::holds_alternative<for_probe>(owner);
     const bool direct = mustGoDirectly(owner);
-    const auto way = probe ? std::optional(store::path::Direct) : m_paths.choose(relay.has_value() && !direct);
+    const auto way = probe ? std::optional(store::path::Direct) : m_paths.choose(relay.has_value() && !direct, now);
     if (!way.has_value()) {
         m_completed.push_back({std::move(owner), store::failure::Refused});
     } else if (*way == store::path::Relay) {
--- a/src/gateway/platform_state.cc
+++ b/src/gateway/platform_state.cc
@@ -60,6 +60,7 @@
     expireCalls(now);
     pollPlatform(now);
     drainInternal(now);
+    noteStoreState(now);
     tickPeers(now);
     tickShutdown(now);
     return std::exchange(m_out, {});
@@ -95,7 +96,7 @@
     for (const auto &watch : m_watches) {
         consider(watch.nextPoll());
     }
-    if (m_store.paths().isSuspect()) {
+    if (m_storeSuspect) {
         consider(m_probeAt);
     }
     if (!m_announceOpen) {
@@ -122,7 +123,7 @@
 
 bool gateway::implementation::storeAvailable(time_point now) const
 {
-    return m_store.paths().directUp() || relayLink(now).has_value();
+    return m_store.paths().directUp(now) || relayLink(now).has_value();
 }
 
 // Carries results between the parts until none is left.
@@ -145,12 +146,17 @@
 void gateway::implementation::on(const store_replied &what, time_point now)
 {
     m_store.onDirectReply(what, now);
-    const bool reachable = m_store.paths().directUp();
+}
+
+// Says when the store was lost or regained; the other daemons learn it at once.
+void gateway::implementation::noteStoreState(time_point now)
+{
+    m_storeSuspect = m_store.paths().isSuspect(now);
+    const bool reachable = m_store.paths().directUp(now);
     if (std::exchange(m_storeSeen, reachable) != reachable) {
         log(reachable ? log_level::Info : log_level::Warning, reachable ? "store_regained" : "store_lost",
             {{"relays", relayLink(now).has_value()}});
         m_beatNow = true;
-        m_probeAt = now + probeInterval;
     }
 }
 
@@ -244,7 +250,7 @@
             startStoreCall(internal::for_watch{static_cast<watched>(i)}, std::move(*due), now);
         }
     }
-    if (m_store.paths().isSuspect() && m_probeAt <= now) {
+    if (m_store.paths().isSuspect(now) && m_probeAt <= now) {
         m_probeAt = time_point::max();
         startStoreCall(internal::for_probe{}, store::read_call{.where = m_options.layout.daemons, .keyed = true}, now);
     }
@@ -405,17 +411,17 @@
     }
 }
 
-peers::beat gateway::implementation::ownBeat() const
+peers::beat gateway::implementation::ownBeat(time_point now) const
 {
     return {.ready = ready(),
-            .storeReachable = m_store.paths().directUp(),
+            .storeReachable = m_store.paths().directUp(now),
             .configuration = m_table == nullptr ? 0 : m_table->source().version,
             .loads = m_pool.ownLoads()};
 }
 
 void gateway::implementation::tickPeers(time_point now)
 {
-    m_peers.tick(ownBeat(), std::exchange(m_beatNow, false), now, m_out);
+    m_peers.tick(ownBeat(now), std::exchange(m_beatNow, false), now, m_out);
 }
 
 // ---- Readiness and shutdown ----
@@ -439,7 +445,7 @@
     return {.openRequests = m_calls.size(),
             .peersAlive = m_peers.alive(now).size(),
             .endpointsKnown = m_pool.size(),
-            .storeReachable = m_store.paths().directUp(),
+            .storeReachable = m_store.paths().directUp(now),
             .configuration = m_table == nullptr ? 0 : m_table->source().version};
 }
 
@@ -512,7 +518,7 @@
                                {"ready", ready()},
                                {"shutting_down", m_shutdownBegan.has_value()},
                                {"configuration", m_table == nullptr ? 0 : m_table->source().version},
-                               {"store_direct", m_store.paths().directUp()},
+                               {"store_direct", m_store.paths().directUp(now)},
                                {"open_requests", m_calls.size()},
                                {"endpoints", m_pool.size()},
                                {"loads", loads},
--- a/src/store/path_selector.cc
+++ b/src/store/path_selector.cc
@@ -3,42 +3,49 @@
 namespace jackdawpick::store
 {
 
-std::optional<path> path_selector::choose(bool relayAvailable) const
+std::optional<path> path_selector::choose(bool relayAvailable, time_point now) const
 {
-    if (relayAvailable && isSuspect()) {
+    if (relayAvailable && isSuspect(now)) {
         return path::Relay;
     }
-    return directUp() ? std::optional(path::Direct) : std::nullopt;
+    return directUp(now) ? std::optional(path::Direct) : std::nullopt;
 }
 
-bool path_selector::isSuspect() const
+unsigned path_selector::failures(time_point now) const
 {
-    return m_failures > 0;
+    const bool servedLately = m_lastServed.has_value() && now - *m_lastServed < servedGrace;
+    return m_refused + (servedLately ? 0 : m_unanswered);
+}
+
+bool path_selector::isSuspect(time_point now) const
+{
+    return failures(now) > 0;
+}
+
+bool path_selector::directUp(time_point now) const
+{
+    return failures(now) < failuresUntilDown;
 }
 
 void path_selector::onDirectReply(const reply &result, time_point now)
 {
     const auto *reason = std::get_if<failure>(&result);
-    if (reason == nullptr || *reason == failure::Rejected) {
-        m_lastDown = directUp() ? m_lastDown : now;
-        m_failures = 0;
+    const bool served = reason == nullptr || *reason == failure::Rejected;
+    if (!directUp(now)) {
+        m_lastDown = now;
+    }
+    if (served) {
+        m_refused = 0;
+        m_unanswered = 0;
         m_lastServed = now;
-        return;
+    } else {
+        ++(*reason == failure::Refused ? m_refused : m_unanswered);
     }
-    const bool servesOthers =
-        *reason != failure::Refused && m_lastServed.has_value() && now - *m_lastServed < servedGrace;
-    m_failures += servesOthers ? 0 : 1;
-    m_lastDown = directUp() ? m_lastDown : now;
-}
-
-bool path_selector::directUp() const
-{
-    return m_failures < failuresUntilDown;
 }
 
 bool path_selector::wasDownWithin(std::chrono::milliseconds time, time_point now) const
 {
-    return !directUp() || (m_lastDown.has_value() && now - *m_lastDown <= time);
+    return !directUp(now) || (m_lastDown.has_value() && now - *m_lastDown <= time);
 }
 
 } // namespace jackdawpick::store
--- a/src/store/path_selector.h
+++ b/src/store/path_selector.h
@@ -4,7 +4,7 @@
 // while it serves the others, so one failed call decides for the calls after it until a direct call succeeds again.
 //
 //   path_selector paths;
-//   auto how = paths.choose(peersWithStore);          // Direct, Relay, or nothing: fail at once.
+//   auto how = paths.choose(peersWithStore, now);     // Direct, Relay, or nothing: fail at once.
 //   paths.onDirectReply(reply, now);
 //
 // Thread compatible.
@@ -22,22 +22,25 @@
 public:
     // Direct calls that fail in a row before the direct path counts as down.
     static constexpr unsigned failuresUntilDown = 2;
-    // A rate limit or a lost reply is a failure only if no call has been served for this long: the limit is meant for
+    // Rate limits and lost replies count as failures once no call has been served for this long: the limit is meant for
     // all daemons together, and a store that loses some replies still serves.
     static constexpr std::chrono::milliseconds servedGrace{200};
 
     // Nothing if neither the store nor a daemon that reaches it is known to be reachable. After one failure already a
     // relay goes before the direct path, which then needs probes to count as sound again.
-    [[nodiscard]] std::optional<path> choose(bool relayAvailable) const;
+    [[nodiscard]] std::optional<path> choose(bool relayAvailable, time_point now) const;
     // The newest direct calls failed; a probe is due.
-    [[nodiscard]] bool isSuspect() const;
+    [[nodiscard]] bool isSuspect(time_point now) const;
     void onDirectReply(const reply &result, time_point now);
-    [[nodiscard]] bool directUp() const;
+    [[nodiscard]] bool directUp(time_point now) const;
     // Whether the direct path is down or was so within `time` before now.
     [[nodiscard]] bool wasDownWithin(std::chrono::milliseconds time, time_point now) const;
 
 private:
-    unsigned m_failures = 0;
+    [[nodiscard]] unsigned failures(time_point now) const;
+
+    unsigned m_refused = 0; // Calls refused since the last one that was served.
+    unsigned m_unanswered = 0; // Calls without reply, or over a rate limit, since then.
     std::optional<time_point> m_lastServed;
     std::optional<time_point> m_lastDown; // The newest moment at which the path was down.
 };
--- a/src/store/path_selector_test.cc
+++ b/src/store/path_selector_test.cc
@@ -12,17 +12,17 @@
 {
     manual_clock clock;
     path_selector paths;
-    EXPECT_EQ(paths.choose(true), path::Direct);
+    EXPECT_EQ(paths.choose(true, clock.now()), path::Direct);
     paths.onDirectReply(failure::NoReply, clock.now());
-    EXPECT_EQ(paths.choose(true), path::Relay);
-    EXPECT_EQ(paths.choose(false), path::Direct);
+    EXPECT_EQ(paths.choose(true, clock.now()), path::Relay);
+    EXPECT_EQ(paths.choose(false, clock.now()), path::Direct);
     paths.onDirectReply(failure::Refused, clock.now());
-    EXPECT_EQ(paths.choose(true), path::Relay);
-    EXPECT_EQ(paths.choose(false), std::nullopt);
+    EXPECT_EQ(paths.choose(true, clock.now()), path::Relay);
+    EXPECT_EQ(paths.choose(false, clock.now()), std::nullopt);
     clock.advance(1s);
     EXPECT_TRUE(paths.wasDownWithin(100ms, clock.now()));
     paths.onDirectReply(appended{1}, clock.now());
-    EXPECT_EQ(paths.choose(false), path::Direct);
+    EXPECT_EQ(paths.choose(false, clock.now()), path::Direct);
     EXPECT_TRUE(paths.wasDownWithin(3s, clock.now()));
     clock.advance(4s);
     EXPECT_FALSE(paths.wasDownWithin(3s, clock.now()));
@@ -38,12 +38,12 @@
     for (int i = 0; i < 5; ++i) {
         paths.onDirectReply(failure::RateLimited, clock.now());
     }
-    EXPECT_TRUE(paths.directUp());
+    EXPECT_TRUE(paths.directUp(clock.now()));
     EXPECT_FALSE(paths.wasDownWithin(3s, clock.now()));
     clock.advance(path_selector::servedGrace);
     paths.onDirectReply(failure::RateLimited, clock.now());
     paths.onDirectReply(failure::RateLimited, clock.now());
-    EXPECT_EQ(paths.choose(true), path::Relay); // This daemon alone is turned away.
+    EXPECT_EQ(paths.choose(true, clock.now()), path::Relay); // This daemon alone is turned away.
 }
 
 // Guards against detours for a store that loses a part of its replies.
@@ -54,12 +54,29 @@
     for (int i = 0; i < 20; ++i) {
         paths.onDirectReply(i % 3 == 0 ? reply(appended{1}) : reply(failure::NoReply), clock.now());
         clock.advance(50ms);
-        EXPECT_TRUE(paths.directUp());
+        EXPECT_TRUE(paths.directUp(clock.now()));
     }
     clock.advance(path_selector::servedGrace);
     paths.onDirectReply(failure::NoReply, clock.now());
     paths.onDirectReply(failure::NoReply, clock.now());
-    EXPECT_FALSE(paths.directUp());
+    EXPECT_FALSE(paths.directUp(clock.now()));
+}
+
+// Guards against a daemon that takes a second to see that it is cut off, because its first lost calls came right after
+// served ones and the next ones wait longer (inc-1322 of klitvagt-serve: 70 reservations refused by a decider that was
+// cut off).
+TEST(PathSelector, LostCallsCountOnceNothingIsServed)
+{
+    manual_clock clock;
+    path_selector paths;
+    paths.onDirectReply(appended{1}, clock.now());
+    clock.advance(80ms);
+    paths.onDirectReply(failure::NoReply, clock.now());
+    paths.onDirectReply(failure::NoReply, clock.now());
+    EXPECT_EQ(paths.choose(true, clock.now()), path::Direct);
+    clock.advance(path_selector::servedGrace);
+    EXPECT_EQ(paths.choose(true, clock.now()), path::Relay);
+    EXPECT_EQ(paths.choose(false, clock.now()), std::nullopt);
 }
 
 } // namespace jackdawpick::store
