--- a/src/gateway/internal/store_access.cc
+++ b/src/gateway/internal/store_access.cc
@@ -40,8 +40,11 @@
         startRelayed(std::move(owner), std::move(what), *relay, now, out);
     } else {
         const auto wait = waitOf(what);
+        // A watch that waited long for a lost reply would learn late what changed meanwhile.
+        const bool watches = std::holds_alternative<for_watch>(owner);
         m_direct.emplace(++m_lastCall, direct_call{std::move(owner), wait, now});
-        out.emplace_back(make_store_call{store_call_id{m_lastCall}, std::move(what), timeout() + wait});
+        out.emplace_back(
+            make_store_call{store_call_id{m_lastCall}, std::move(what), (watches ? firstTimeout() : timeout()) + wait});
     }
 }
 
@@ -68,11 +71,15 @@
 std::chrono::milliseconds store_access::timeout() const
 {
     constexpr unsigned mostDoublings = 4;
-    const auto usual = std::max<std::chrono::milliseconds>(usualTime() * usualTimes, shortestTimeout);
-    return std::min<std::chrono::milliseconds>(usual * (1U << std::min(m_timeoutsInRow, mostDoublings)),
+    return std::min<std::chrono::milliseconds>(firstTimeout() * (1U << std::min(m_timeoutsInRow, mostDoublings)),
                                                longestTimeout);
 }
 
+std::chrono::milliseconds store_access::firstTimeout() const
+{
+    return std::clamp<std::chrono::milliseconds>(usualTime() * usualTimes, shortestTimeout, longestTimeout);
+}
+
 std::chrono::milliseconds store_access::usualTime() const
 {
     return std::chrono::ceil<std::chrono::milliseconds>(m_usualTime);
--- a/src/gateway/internal/store_access.h
+++ b/src/gateway/internal/store_access.h
@@ -119,6 +119,7 @@
     void startRelayed(store_owner owner, store::call what, link_id relay, time_point now, std::vector<effect> &out);
 
     [[nodiscard]] std::chrono::milliseconds timeout() const;
+    [[nodiscard]] std::chrono::milliseconds firstTimeout() const;
     void learnTime(const direct_call &call, const store::reply &result, time_point now);
 
     store::path_selector m_paths;
