Split the largest files: the requests of gateway_world, the reports of soak_world

Change: configuration and requests of the former are a file of their own; trace() and fault() of the latter lie with the failures. No behaviour changes.

--- a/bench/soak/soak_world.cc
+++ b/bench/soak/soak_world.cc
@@ -592,19 +592,4 @@
     });
 }
 
-void soak_world::trace(const std::string &text) const
-{
-    if (m_options.trace) {
-        fmt::print(stderr, "{:8} {}\n", millisecondsBetween(time_point(std::chrono::hours(1)), m_clock.now()).count(),
-                   text);
-    }
-}
-
-void soak_world::fault(std::string text)
-{
-    m_report.faults.push_back(fmt::format("seed {} at {} ms: {}", m_seed,
-                                          millisecondsBetween(time_point(std::chrono::hours(1)), m_clock.now()).count(),
-                                          text));
-}
-
 } // namespace jackdawpick
--- a/src/gateway/testing/gateway_world.cc
+++ b/src/gateway/testing/gateway_world.cc
@@ -19,38 +19,6 @@
 const store::partition endpointPlace{"endpoints", 0};
 const store::partition daemonPlace{"daemons", 0};
 
-routing::configuration initialConfiguration()
-{
-    const auto model = routing::route{.name = "model",
-                                      .host = "h",
-                                      .pathPrefix = "/model/",
-                                      .kind = routing::repetition::Stream,
-                                      .timeout = 3000ms,
-                                      .rank = 0,
-                                      .services = {{"engines", 1}},
-                                      .retainsTurns = true,
-                                      .retention = 60s};
-    const auto read = routing::route{.name = "read",
-                                     .host = "h",
-                                     .pathPrefix = "/read/",
-                                     .kind = routing::repetition::Idempotent,
-                                     .timeout = 1200ms,
-                                     .services = {{"shop", 1}},
-                                     .maxAttempts = 3};
-    const auto pay = routing::route{.name = "pay",
-                                    .host = "h",
-                                    .pathPrefix = "/pay/",
-                                    .kind = routing::repetition::NonIdempotent,
-                                    .timeout = 2000ms,
-                                    .services = {{"shop", 1}}};
-    return {
-        .version = 1,
-        .routes = {model, read, pay},
-        .services = {{.name = "engines",
-                      .engine = routing::engine_profile{.slots = 4, .tokensPerEvent = gateway_world::tokensPerEvent}},
-                     {.name = "shop", .engine = std::nullopt}}};
-}
-
 } // namespace
 
 gateway_world::gateway_world(world_options options)
@@ -579,36 +547,4 @@
     after(0ms, [=, this] { kill(daemon); });
 }
 
-caller_request turnOf(const std::string &program, const std::string &attempt, std::uint32_t budget,
-                      const std::string &previous)
-{
-    return {.attempt = attempt,
-            .method = "POST",
-            .host = "h",
-            .path = "/model/x",
-            .target = "/model/x",
-            .headers = {},
-            .body = "in:" + attempt + "\n",
-            .deadline = 3000ms,
-            .program = program,
-            .session = program,
-            .previousTurn = previous,
-            .tokenBudget = budget,
-            .maxOutputTokens = 60,
-            .prompt = {}};
-}
-
-caller_request shopCall(const std::string &path, const std::string &attempt)
-{
-    return {.attempt = attempt,
-            .method = "GET",
-            .host = "h",
-            .path = path,
-            .target = path,
-            .headers = {},
-            .body = {},
-            .deadline = 1200ms,
-            .prompt = {}};
-}
-
 } // namespace jackdawpick::gateway::testing
--- a/src/gateway/testing/gateway_world.h
+++ b/src/gateway/testing/gateway_world.h
@@ -200,6 +200,8 @@
     std::map<std::string, int> m_lines;
 };
 
+// Routes `/model/` (retained turns), `/read/` and `/pay/`, and their services.
+[[nodiscard]] routing::configuration initialConfiguration();
 // A turn of the model route, with its program's budget.
 [[nodiscard]] caller_request turnOf(const std::string &program, const std::string &attempt, std::uint32_t budget = 1000,
                                     const std::string &previous = {});
