--- a/src/programs/programs_test.cc
+++ b/src/programs/programs_test.cc
@@ -26,7 +26,7 @@
 }
 
 // Guards against a crash on bytes that another writer has left in the partition.
-RC_GTEST_PROP(ProgramRecords, AnyBytesAreReadSafely, (std::string bytes, unsigned char position))
+RC_GTEST_PROP(ProgramRecords, AnyBytesAreReadSafely, (const std::string &bytes, unsigned char position))
 {
     (void)decodeRecord(bytes);
     auto record = encodeRecord(turn{"turn", "history"});
@@ -76,7 +76,7 @@
 }
 
 // Guards against a sum of spent and reserved tokens beyond the budget under any order of records.
-RC_GTEST_PROP(BudgetLedger, NeverExceedsTheBudget, (std::vector<std::pair<unsigned char, bool>> steps))
+RC_GTEST_PROP(BudgetLedger, NeverExceedsTheBudget, (const std::vector<std::pair<unsigned char, bool>> &steps))
 {
     constexpr std::uint32_t most = 100;
     constexpr std::uint32_t budget = 450;
--- a/standins/emulator/emulator_test.cc
+++ b/standins/emulator/emulator_test.cc
@@ -33,7 +33,7 @@
 {
 protected:
     // Runs the programs through `daemons` daemons in this process.
-    driver_report run(emulator_options platformOptions, driver_options driverOptions, int daemons)
+    driver_report run(const emulator_options &platformOptions, driver_options driverOptions, int daemons)
     {
         platform = std::make_unique<platform_emulator>(loop, platformOptions);
         const auto store = platform->start();
