--- a/src/routing/routing.cc
+++ b/src/routing/routing.cc
@@ -31,11 +31,10 @@
 
 const route *route_table::find(std::string_view host, std::string_view path) const
 {
-    const auto ofHost = std::ranges::equal_range(m_source.routes, host, std::less<>(),
-                                                 [](const route &entry) { return std::string_view(entry.host); });
-    const auto found =
-        std::ranges::find_if(ofHost, [path](const route &entry) { return path.starts_with(entry.pathPrefix); });
-    return found == ofHost.end() ? nullptr : &*found;
+    const auto found = std::ranges::find_if(m_source.routes, [host, path](const route &entry) {
+        return entry.host == host && path.starts_with(entry.pathPrefix);
+    });
+    return found == m_source.routes.end() ? nullptr : &*found;
 }
 
 const service *route_table::findService(std::string_view name) const
