Place prompts where their beginning is cached; turn new programs away in a flood

The engines were busy reading prompts: 32 of 138 million tokens were read, a third of that shared first parts that some engine had read before, another third lines of turns that had moved to another engine. Each daemon remembered only what it had sent itself, a ninth of all, and assumed that engines never drop anything.

Now all daemons expect the same by rendezvous hashing, without a message: prompts that begin alike are read at a third of the engines, each line of turns at one of these, and reading is charged with the delay of the whole batch. The memory of sent parts is gone. Turns of programs under way go before first turns of their rank, and first turns are refused, with a time to come back, when the engines hold more requests than slots (new library src/admission).

The peers' copy of the budget's answer gives way to the type of the programs library.

--- a/src/fleet/endpoint_pool.cc
+++ b/src/fleet/endpoint_pool.cc
@@ -15,8 +15,6 @@
 // started finds some left.
 constexpr double usedConnections = 0.8;
 constexpr double smoothing = 0.1; // Weight of the newest service time.
-constexpr std::size_t maxCachedParts = 1024; // Remembered for each endpoint.
-constexpr std::chrono::seconds cachedPartLife{20};
 
 } // namespace
 
@@ -28,7 +26,6 @@
     if (value.entry.address != entry.address) {
         value.failures = 0;
         value.pausedUntil = {};
-        value.cached.clear();
     }
     value.entry = entry;
     value.goneAt.reset();
@@ -80,7 +77,7 @@
     m_peers.erase(peer);
 }
 
-void endpoint_pool::onDispatched(const std::string &id, const placement_request &request, time_point now)
+void endpoint_pool::onDispatched(const std::string &id, time_point now)
 {
     const auto found = m_endpoints.find(id);
     if (found == m_endpoints.end()) {
@@ -92,15 +89,6 @@
         value.recentPeak = value.inFlight;
         value.peakAt = now;
     }
-    for (const auto &part : request.prompt) {
-        value.cached[part.id] = {.tokens = part.tokens, .used = now};
-    }
-    if (value.cached.size() > maxCachedParts) {
-        std::erase_if(value.cached, [now](const auto &entry) { return now - entry.second.used > cachedPartLife; });
-    }
-    if (value.cached.size() > maxCachedParts) {
-        value.cached.clear();
-    }
 }
 
 void endpoint_pool::onFinished(const std::string &id, finish how, std::chrono::milliseconds took, time_point now)
@@ -138,6 +126,19 @@
     return loads;
 }
 
+double endpoint_pool::utilisation(const std::string &service, time_point now) const
+{
+    double inFlight = 0;
+    double slots = 0;
+    for (const auto &[id, value] : m_endpoints) {
+        if (value.entry.service == service && isUsable(value, now)) {
+            inFlight += totalInFlight(value, now);
+            slots += std::max(value.entry.slots, 1U);
+        }
+    }
+    return slots > 0 ? inFlight / slots : 0;
+}
+
 std::size_t endpoint_pool::size() const
 {
     return m_endpoints.size();
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -36,7 +36,8 @@
     bool operator==(const endpoint_entry &) const = default;
 };
 
-// A part of a prompt; requests with the same leading parts can use what an engine has cached of them.
+// A part of a prompt; requests with the same leading parts can use what an engine has cached of them. The second part
+// is that of one line of turns and grows with each of them.
 struct prompt_part
 {
     std::string id;
@@ -102,20 +103,17 @@
     // Nothing if no endpoint of the service can be used. `noise` in [0, 1) breaks ties, so that daemons with the same
     // view do not all choose the same endpoint.
     [[nodiscard]] std::optional<placement> choose(const placement_request &request, double noise, time_point now) const;
-    void onDispatched(const std::string &id, const placement_request &request, time_point now);
+    void onDispatched(const std::string &id, time_point now);
     // `took` is the time the endpoint worked on the request; it is ignored unless the request was answered.
     void onFinished(const std::string &id, finish how, std::chrono::milliseconds took, time_point now);
 
     [[nodiscard]] endpoint_loads ownLoads() const;
+    // Requests in flight of all daemons for each slot of the usable endpoints; above 1, requests wait at endpoints.
+    // 0 if the service has no usable endpoint.
+    [[nodiscard]] double utilisation(const std::string &service, time_point now) const;
     [[nodiscard]] std::size_t size() const;
 
 private:
-    struct cached_part
-    {
-        std::uint32_t tokens = 0;
-        time_point used;
-    };
-
     struct endpoint
     {
         endpoint_entry entry;
@@ -127,7 +125,6 @@
         unsigned failures = 0; // In a row.
         time_point pausedUntil{};
         std::optional<double> serviceMilliseconds; // Smoothed.
-        std::unordered_map<std::string, cached_part> cached;
     };
 
     struct peer_view
@@ -147,6 +144,7 @@
     [[nodiscard]] std::uint32_t totalInFlight(const endpoint &value, time_point now) const;
     [[nodiscard]] candidate rate(const endpoint &value, const placement_request &request, double usualTime,
                                  time_point now) const;
+    void rateReading(const placement_request &request, std::vector<candidate> &candidates, time_point now) const;
     [[nodiscard]] double usualServiceTime(const std::string &service) const;
     [[nodiscard]] std::uint32_t connectionLimit(const std::string &service) const;
     void forgetGone(time_point now);
--- a/src/fleet/placement.cc
+++ b/src/fleet/placement.cc
@@ -1,6 +1,7 @@
 #include "fleet/fleet.h"
 
 #include <algorithm>
+#include <numeric>
 #include <xxhash.h>
 
 namespace jackdawpick::fleet
@@ -13,7 +14,11 @@
 constexpr double tokensReadPerMillisecond = 471; // Prompt tokens that are not cached.
 constexpr double slowdownPerToken = 0.0154; // Each other running request delays each generated token by this.
 constexpr double otherZoneCost = 3; // There and back.
-constexpr double affinityGain = 8; // Of the endpoint that the requests of one session or object share.
+constexpr double affinityGain = 8; // Of the endpoint that the requests about one object share.
+// Prompts that begin with the same part are read at one in so many endpoints: few enough that these keep the part
+// cached, enough to carry the part that is asked for most.
+constexpr std::size_t endpointsForOnePart = 3;
+constexpr double homeGain = 8; // Of the endpoint to which the later turns of a line will come.
 constexpr double noiseRange = 2;
 constexpr double newConnectionCost = 2;
 constexpr double defaultServiceTime = 300;
@@ -49,15 +54,12 @@
     const double slots = std::max(value.entry.slots, 1U);
     const double ownTime = value.serviceMilliseconds.value_or(usualTime);
     const double wait = busy < slots ? 0 : (busy - slots + 1) / slots * ownTime;
-    double cost = wait + std::min(busy, slots) * slowdownPerToken * request.outputTokens;
+    const double batch = std::min(busy, slots);
+    // A request delays each other one of the batch as much as that one delays it.
+    double cost = wait + 2 * batch * slowdownPerToken * request.outputTokens;
     if (request.outputTokens == 0) {
         cost += busy / slots; // Plain services: the emptier one among the idle.
     }
-    bool cached = true;
-    for (const auto &part : request.prompt) {
-        cached = cached && value.cached.contains(part.id);
-        cost += cached ? 0 : part.tokens / tokensReadPerMillisecond;
-    }
     cost += std::max(0.0, ownTime - usualTime) * slownessWeight;
     cost += value.entry.zone == request.zone ? 0 : otherZoneCost;
     cost += value.pausedUntil > now ? pausedCost : 0;
@@ -66,6 +68,36 @@
     return {.where = &value, .wait = wait, .cost = cost};
 }
 
+// Adds the time to read what an endpoint is not expected to have cached of the prompt, which delays its whole batch.
+// All daemons expect the same without a word: prompts that begin alike are read at some endpoints, and those that also
+// continue one line of turns at one of these.
+void endpoint_pool::rateReading(const placement_request &request, std::vector<candidate> &candidates,
+                                time_point now) const
+{
+    if (request.prompt.empty()) {
+        return;
+    }
+    const auto &first = request.prompt.front();
+    const auto &line = request.prompt.size() > 1 ? request.prompt[1] : first;
+    std::ranges::sort(candidates, std::greater<>(),
+                      [&first](const candidate &entry) { return weightFor(first.id, entry.where->entry.id); });
+    const auto sharing = (candidates.size() + endpointsForOnePart - 1) / endpointsForOnePart;
+    const auto begin = candidates.begin();
+    const auto end = begin + static_cast<std::ptrdiff_t>(sharing);
+    const auto home = std::max_element(begin, end, [&line](const candidate &left, const candidate &right) {
+        return weightFor(line.id, left.where->entry.id) < weightFor(line.id, right.where->entry.id);
+    });
+    const double all = std::accumulate(request.prompt.begin(), request.prompt.end(), 0.0,
+                                       [](double sum, const prompt_part &part) { return sum + part.tokens; });
+    for (auto entry = begin; entry != candidates.end(); ++entry) {
+        const double cached = entry == home ? all : (entry < end ? first.tokens : 0);
+        const auto &where = *entry->where;
+        const double batch = std::min<double>(totalInFlight(where, now), std::max(where.entry.slots, 1U));
+        entry->cost += (all - cached) / tokensReadPerMillisecond * (1 + batch);
+        entry->cost += entry == home ? 0 : homeGain;
+    }
+}
+
 std::optional<placement> endpoint_pool::choose(const placement_request &request, double noise, time_point now) const
 {
     const double usualTime = usualServiceTime(request.service);
@@ -80,7 +112,8 @@
     if (candidates.empty()) {
         return std::nullopt;
     }
-    if (!request.affinity.empty()) {
+    rateReading(request, candidates, now);
+    if (!request.affinity.empty() && request.prompt.empty()) {
         const auto home = std::ranges::max_element(candidates, std::less<>(), [&](const candidate &entry) {
             return weightFor(request.affinity, entry.where->entry.id);
         });
--- a/src/gateway/budgets.cc
+++ b/src/gateway/budgets.cc
@@ -38,30 +38,10 @@
             .budget = request.tokenBudget.value_or(0)};
 }
 
-peers::budget_verdict toMessage(programs::budget_answer answer)
+// Nothing but this request has been reserved or used.
+bool isFirstTurn(const programs::budget_verdict &verdict)
 {
-    switch (answer) {
-    case programs::budget_answer::Granted:
-        return peers::budget_verdict::Granted;
-    case programs::budget_answer::Denied:
-        return peers::budget_verdict::Denied;
-    case programs::budget_answer::Unavailable:
-        break;
-    }
-    return peers::budget_verdict::Unavailable;
-}
-
-programs::budget_answer fromMessage(peers::budget_verdict verdict)
-{
-    switch (verdict) {
-    case peers::budget_verdict::Granted:
-        return programs::budget_answer::Granted;
-    case peers::budget_verdict::Denied:
-        return programs::budget_answer::Denied;
-    case peers::budget_verdict::Unavailable:
-        break;
-    }
-    return programs::budget_answer::Unavailable;
+    return verdict.usage.spent + verdict.usage.reserved <= verdict.asked.tokens;
 }
 
 } // namespace
@@ -164,10 +144,11 @@
     }
     for (const auto &[attempt, asker] : askers) {
         if (!asker.caller.has_value()) {
-            m_out.emplace_back(send_message{
-                asker.link,
-                peers::budget_reply{asker.request, toMessage(verdict.answer), turnHolder(asker.previousTurn)}});
+            m_out.emplace_back(send_message{asker.link,
+                                            peers::budget_reply{asker.request, verdict.answer,
+                                                                turnHolder(asker.previousTurn), isFirstTurn(verdict)}});
         } else if (auto *value = findCall(*asker.caller); value != nullptr) {
+            value->firstTurn = isFirstTurn(verdict);
             onBudgetAnswer(*value, verdict.answer, m_options.self.name, turnHolder(value->request.previousTurn), now);
         } else if (verdict.answer == programs::budget_answer::Granted) {
             // The caller has left meanwhile.
@@ -236,7 +217,8 @@
     const auto node = m_budgetQuestions.extract(what.id);
     auto *value = node ? findCall(node.mapped().caller) : nullptr;
     if (value != nullptr && value->reservationPending) {
-        onBudgetAnswer(*value, fromMessage(what.verdict), m_peers.nameOf(link), what.turnHolder, now);
+        value->firstTurn = what.firstTurn;
+        onBudgetAnswer(*value, what.answer, m_peers.nameOf(link), what.turnHolder, now);
     }
 }
 
--- a/src/gateway/dispatching.cc
+++ b/src/gateway/dispatching.cc
@@ -38,6 +38,23 @@
 
 } // namespace
 
+admission::turn_urgency gateway::implementation::urgencyOf(const call &value)
+{
+    return {.rank = value.route->rank, .firstTurn = value.firstTurn};
+}
+
+// Refuses the request if it begins a program for which the engines have no room now.
+bool gateway::implementation::admit(call &value, time_point now)
+{
+    const double utilisation = m_pool.utilisation(value.service, now);
+    const auto retryAfter = admission::delayOf(urgencyOf(value), utilisation, random());
+    if (retryAfter.has_value()) {
+        logCall(log_level::Info, "program_refused", value, {{"utilisation", utilisation}}, now);
+        refuseCall(value, 503, retryAfter, "engines_full", now);
+    }
+    return !retryAfter.has_value();
+}
+
 fleet::placement_request gateway::implementation::placementOf(const call &value) const
 {
     const auto &request = value.request;
@@ -62,7 +79,7 @@
         refuseCall(value, 503, noEndpointRetry, "no_endpoint", now);
         return;
     }
-    m_pool.onDispatched(where->id, request, now);
+    m_pool.onDispatched(where->id, now);
     value.phase = call_phase::Dispatched;
     value.endpoint = where->id;
     value.dispatchedAt = now;
@@ -76,17 +93,18 @@
              {"configuration", value.table->source().version}},
             now);
     const bool toEngine = value.route->kind == routing::repetition::Stream;
-    m_out.emplace_back(start_dispatch{.dispatch = *value.dispatch,
-                                      .address = where->address,
-                                      .endpoint = where->id,
-                                      .attempt = value.request.attempt,
-                                      .method = value.request.method,
-                                      .host = value.request.host,
-                                      .target = value.request.target,
-                                      .headers = value.request.headers,
-                                      .body = value.history + value.request.body,
-                                      .remaining = remaining,
-                                      .priority = toEngine ? std::optional(value.route->rank) : std::nullopt});
+    m_out.emplace_back(
+        start_dispatch{.dispatch = *value.dispatch,
+                       .address = where->address,
+                       .endpoint = where->id,
+                       .attempt = value.request.attempt,
+                       .method = value.request.method,
+                       .host = value.request.host,
+                       .target = value.request.target,
+                       .headers = value.request.headers,
+                       .body = value.history + value.request.body,
+                       .remaining = remaining,
+                       .priority = toEngine ? std::optional(admission::priorityOf(urgencyOf(value))) : std::nullopt});
 }
 
 void gateway::implementation::releaseEndpoint(call &value, fleet::finish how, time_point now)
--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -430,6 +430,33 @@
     EXPECT_EQ(refused.status, 503);
 }
 
+// Guards against a flood in which every program begins and all of them finish late: what begins is refused as not run,
+// with a time to come back, and what is under way goes on.
+TEST(Flood, RefusesProgramsThatBeginAndServesThoseUnderWay)
+{
+    gateway_world world({.daemons = 2});
+    world.settle();
+    ASSERT_TRUE(world.askAndWait(0, turnOf("under-way", "a")).complete);
+    world.endpoints = {{"engine-0", endpoint_mood::Silent}, {"engine-1", endpoint_mood::Silent}};
+    constexpr int flood = 60;
+    for (int i = 0; i < flood; ++i) {
+        world.ask(i % 2, turnOf(fmt::format("flood-{}", i), fmt::format("f{}", i)));
+        world.runFor(20ms);
+    }
+    const auto &begins = world.askAndWait(0, turnOf("begins", "b"));
+    EXPECT_EQ(begins.status, 503);
+    EXPECT_EQ(begins.reason, "engines_full");
+    EXPECT_GT(begins.retryAfter, 0ms);
+    EXPECT_EQ(world.runsOf("b"), 0);
+    const auto &goesOn = world.askAndWait(1, turnOf("under-way", "c", 1000, "a"));
+    EXPECT_EQ(goesOn.status, 0);
+    EXPECT_EQ(world.runsOf("c"), 1);
+    // The engines have room again.
+    world.endpoints.clear();
+    world.runFor(5s);
+    EXPECT_EQ(world.askAndWait(0, turnOf("begins", "d")).status, 200);
+}
+
 // Guards against a shutdown that cuts requests, and against a directory that names a daemon which is going.
 TEST(Shutdown, FinishesRequestsAndLeavesTheDirectory)
 {
--- a/src/gateway/internal/call.h
+++ b/src/gateway/internal/call.h
@@ -37,6 +37,7 @@
     unsigned budgetTries = 0; // Daemons that were asked for the reservation.
     std::optional<std::string> lastAsked; // The newest of them; nothing once it is settled.
     std::optional<std::string> reservedAt; // Name of the daemon that granted it; nothing once it is settled.
+    bool firstTurn = false; // Of its program, as far as the budget tells.
     bool historyPending = false;
     bool historyUncertain = false; // The first of its two places could not be read.
     bool secondPlace = false; // The first place was read, or written, without success.
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -3,6 +3,7 @@
 // The state of the gateway and the functions of its reducer, grouped by file: requests.cc (arrival, refusal, end),
 // budgets.cc (reservations), turns.cc (histories), dispatching.cc (endpoints), platform_state.cc (log, watches, peers).
 
+#include "admission/admission.h"
 #include "gateway/gateway.h"
 #include "gateway/internal/call.h"
 #include "gateway/internal/keyed_watch.h"
@@ -140,6 +141,8 @@
     void onWholeAnswer(call &value, time_point now);
     void onBrokenAnswer(call &value, dispatch_end how, time_point now);
     [[nodiscard]] bool mayRunAgain(const call &value, time_point now) const;
+    [[nodiscard]] static admission::turn_urgency urgencyOf(const call &value);
+    [[nodiscard]] bool admit(call &value, time_point now);
     [[nodiscard]] fleet::placement_request placementOf(const call &value) const;
 
     // platform_state.cc
--- a/src/gateway/testing/gateway_world.cc
+++ b/src/gateway/testing/gateway_world.cc
@@ -201,6 +201,13 @@
     return view;
 }
 
+caller_view &gateway_world::askAndWait(int daemon, caller_request request)
+{
+    auto &view = ask(daemon, std::move(request));
+    runFor(std::chrono::seconds(1));
+    return view;
+}
+
 void gateway_world::leave(const caller_view &view)
 {
     const auto [daemon, caller] = m_places.at(&view);
--- a/src/gateway/testing/gateway_world.h
+++ b/src/gateway/testing/gateway_world.h
@@ -91,6 +91,8 @@
     void runFor(std::chrono::milliseconds time);
 
     caller_view &ask(int daemon, caller_request request);
+    // Asks and lets a second pass.
+    caller_view &askAndWait(int daemon, caller_request request);
     void leave(const caller_view &view); // The caller closes its connection.
     void kill(int daemon);
     void start(int daemon);
--- a/src/gateway/turns.cc
+++ b/src/gateway/turns.cc
@@ -128,7 +128,8 @@
 
 void gateway::implementation::continueIfPrepared(call &value, time_point now)
 {
-    if (!value.reservationPending && !value.historyPending && value.phase == call_phase::Preparing) {
+    const bool isPrepared = !value.reservationPending && !value.historyPending && value.phase == call_phase::Preparing;
+    if (isPrepared && admit(value, now)) {
         dispatch(value, now);
     }
 }
--- a/src/peers/internal/peer_messages_generated.h
+++ b/src/peers/internal/peer_messages_generated.h
@@ -1053,24 +1053,29 @@
   typedef BudgetReplyBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ID = 4,
-    VT_VERDICT = 6,
-    VT_TURN_HOLDER = 8
+    VT_ANSWER = 6,
+    VT_TURN_HOLDER = 8,
+    VT_FIRST_TURN = 10
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
   }
-  uint8_t verdict() const {
-    return GetField<uint8_t>(VT_VERDICT, 0);
+  uint8_t answer() const {
+    return GetField<uint8_t>(VT_ANSWER, 0);
   }
   const flatbuffers::String *turn_holder() const {
     return GetPointer<const flatbuffers::String *>(VT_TURN_HOLDER);
   }
+  bool first_turn() const {
+    return GetField<uint8_t>(VT_FIRST_TURN, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
-           VerifyField<uint8_t>(verifier, VT_VERDICT, 1) &&
+           VerifyField<uint8_t>(verifier, VT_ANSWER, 1) &&
            VerifyOffsetRequired(verifier, VT_TURN_HOLDER) &&
            verifier.VerifyString(turn_holder()) &&
+           VerifyField<uint8_t>(verifier, VT_FIRST_TURN, 1) &&
            verifier.EndTable();
   }
 };
@@ -1082,12 +1087,15 @@
   void add_id(uint64_t id) {
     fbb_.AddElement<uint64_t>(BudgetReply::VT_ID, id, 0);
   }
-  void add_verdict(uint8_t verdict) {
-    fbb_.AddElement<uint8_t>(BudgetReply::VT_VERDICT, verdict, 0);
+  void add_answer(uint8_t answer) {
+    fbb_.AddElement<uint8_t>(BudgetReply::VT_ANSWER, answer, 0);
   }
   void add_turn_holder(flatbuffers::Offset<flatbuffers::String> turn_holder) {
     fbb_.AddOffset(BudgetReply::VT_TURN_HOLDER, turn_holder);
   }
+  void add_first_turn(bool first_turn) {
+    fbb_.AddElement<uint8_t>(BudgetReply::VT_FIRST_TURN, static_cast<uint8_t>(first_turn), 0);
+  }
   explicit BudgetReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1103,26 +1111,30 @@
 inline flatbuffers::Offset<BudgetReply> CreateBudgetReply(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t id = 0,
-    uint8_t verdict = 0,
-    flatbuffers::Offset<flatbuffers::String> turn_holder = 0) {
+    uint8_t answer = 0,
+    flatbuffers::Offset<flatbuffers::String> turn_holder = 0,
+    bool first_turn = false) {
   BudgetReplyBuilder builder_(_fbb);
   builder_.add_id(id);
   builder_.add_turn_holder(turn_holder);
-  builder_.add_verdict(verdict);
+  builder_.add_first_turn(first_turn);
+  builder_.add_answer(answer);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<BudgetReply> CreateBudgetReplyDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t id = 0,
-    uint8_t verdict = 0,
-    const char *turn_holder = nullptr) {
+    uint8_t answer = 0,
+    const char *turn_holder = nullptr,
+    bool first_turn = false) {
   auto turn_holder__ = turn_holder ? _fbb.CreateString(turn_holder) : 0;
   return jackdawpick::peers::fbs::CreateBudgetReply(
       _fbb,
       id,
-      verdict,
-      turn_holder__);
+      answer,
+      turn_holder__,
+      first_turn);
 }
 
 struct BudgetUse FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/peers/peers.cc
+++ b/src/peers/peers.cc
@@ -169,7 +169,8 @@
 any_offset pack(builder &out, const budget_reply &value)
 {
     const auto holder = out.CreateString(value.turnHolder);
-    return fbs::CreateBudgetReply(out, value.id, static_cast<std::uint8_t>(value.verdict), holder).Union();
+    const auto answer = static_cast<std::uint8_t>(value.answer);
+    return fbs::CreateBudgetReply(out, value.id, answer, holder, value.firstTurn).Union();
 }
 
 any_offset pack(builder &out, const budget_use &value)
@@ -288,10 +289,11 @@
 
 std::optional<message> unpack(const fbs::BudgetReply &body)
 {
-    if (body.verdict() > static_cast<std::uint8_t>(budget_verdict::Unavailable)) {
+    if (body.answer() > static_cast<std::uint8_t>(programs::budget_answer::Unavailable)) {
         return std::nullopt;
     }
-    return budget_reply{body.id(), static_cast<budget_verdict>(body.verdict()), unpack(body.turn_holder())};
+    return budget_reply{body.id(), static_cast<programs::budget_answer>(body.answer()), unpack(body.turn_holder()),
+                        body.first_turn()};
 }
 
 std::optional<message> unpackBudgetOrTurn(const fbs::Message &root)
@@ -315,15 +317,8 @@
     return std::nullopt;
 }
 
-constexpr std::array<std::string_view, 3> budgetVerdictNames{"granted", "denied", "unavailable"};
-
 } // namespace
 
-std::string_view nameOf(budget_verdict value)
-{
-    return budgetVerdictNames.at(static_cast<std::size_t>(value));
-}
-
 std::string encodeMessage(const message &value)
 {
     builder out;
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -8,6 +8,7 @@
 // Value types; thread compatible.
 
 #include "fleet/fleet.h"
+#include "programs/programs.h"
 #include "store/store.h"
 
 #include <cstdint>
@@ -55,14 +56,6 @@
     bool operator==(const store_response &) const = default;
 };
 
-enum class budget_verdict : std::uint8_t {
-    Granted,
-    Denied, // The budget does not hold so many tokens.
-    Unavailable, // The budget could not be read or written.
-};
-
-[[nodiscard]] std::string_view nameOf(budget_verdict value);
-
 // Asks the daemon that holds the program's budget for at most `tokens` generated tokens.
 struct budget_request
 {
@@ -78,8 +71,9 @@
 struct budget_reply
 {
     std::uint64_t id = 0;
-    budget_verdict verdict = budget_verdict::Unavailable;
+    programs::budget_answer answer = programs::budget_answer::Unavailable;
     std::string turnHolder; // Daemon that has the text of the previous turn; empty if unknown.
+    bool firstTurn = false; // Nothing else of the budget has been used or reserved.
     bool operator==(const budget_reply &) const = default;
 };
 
