Know slow engines from the pace of their streams

The mean service time of a daemon's own requests told that only after some ten answers, and slow answers come late. Lines of turns stayed there.

The time between the events of a stream tells it within a second. An engine that takes more than 1.5 times the median of its service is charged the difference and counts as so much less room; it is tried again after four seconds. Routine first turns are now refused from 1.25 requests a slot on.

--- a/src/admission/admission.cc
+++ b/src/admission/admission.cc
@@ -19,7 +19,7 @@
 
 // Engines serve urgent turns before others, which therefore wait first and longest.
 constexpr admission_range urgentRange{.begin = 2.0, .end = 3.0};
-constexpr admission_range routineRange{.begin = 1.15, .end = 1.6};
+constexpr admission_range routineRange{.begin = 1.25, .end = 2.0};
 
 // Long enough for engines to end a few turns, short enough that the program can still finish in time.
 constexpr std::chrono::milliseconds urgentDelay{200};
--- a/src/fleet/endpoint_pool.cc
+++ b/src/fleet/endpoint_pool.cc
@@ -15,6 +15,7 @@
 // started finds some left.
 constexpr double usedConnections = 0.8;
 constexpr double smoothing = 0.1; // Weight of the newest service time.
+constexpr double eventSmoothing = 0.2; // Weight of the newest time between two events.
 
 } // namespace
 
@@ -115,6 +116,18 @@
     forgetGone(now);
 }
 
+void endpoint_pool::onEvents(const std::string &id, std::uint32_t count, std::chrono::milliseconds took, time_point now)
+{
+    const auto found = m_endpoints.find(id);
+    if (found == m_endpoints.end() || count == 0) {
+        return;
+    }
+    auto &value = found->second;
+    const double gap = static_cast<double>(took.count()) / count;
+    value.eventMilliseconds = value.eventMilliseconds.value_or(gap) * (1 - eventSmoothing) + gap * eventSmoothing;
+    value.eventsSeen = now;
+}
+
 endpoint_loads endpoint_pool::ownLoads() const
 {
     endpoint_loads loads;
@@ -128,12 +141,13 @@
 
 double endpoint_pool::utilisation(const std::string &service, time_point now) const
 {
+    const auto usual = usualTimes(service);
     double inFlight = 0;
     double slots = 0;
     for (const auto &[id, value] : m_endpoints) {
         if (value.entry.service == service && isUsable(value, now)) {
             inFlight += totalInFlight(value, now);
-            slots += std::max(value.entry.slots, 1U);
+            slots += std::max(value.entry.slots, 1U) / slownessOf(value, usual, now);
         }
     }
     return slots > 0 ? inFlight / slots : 0;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -107,6 +107,9 @@
     // `took` is the time the endpoint worked on the request; it is ignored unless the request was answered.
     void onFinished(const std::string &id, finish how, std::chrono::milliseconds took, time_point now);
 
+    // The endpoint has sent `count` events of a stream, `took` after the ones before.
+    void onEvents(const std::string &id, std::uint32_t count, std::chrono::milliseconds took, time_point now);
+
     [[nodiscard]] endpoint_loads ownLoads() const;
     // Requests in flight of all daemons for each slot of the usable endpoints; above 1, requests wait at endpoints.
     // 0 if the service has no usable endpoint.
@@ -125,6 +128,8 @@
         unsigned failures = 0; // In a row.
         time_point pausedUntil{};
         std::optional<double> serviceMilliseconds; // Smoothed.
+        std::optional<double> eventMilliseconds; // Between two events of a stream; smoothed.
+        time_point eventsSeen{};
     };
 
     struct peer_view
@@ -133,6 +138,13 @@
         time_point reported;
     };
 
+    // What is usual among the endpoints of a service, in milliseconds.
+    struct usual_times
+    {
+        double service = 0;
+        std::optional<double> event;
+    };
+
     struct candidate
     {
         const endpoint *where = nullptr;
@@ -142,10 +154,12 @@
 
     [[nodiscard]] bool isUsable(const endpoint &value, time_point now) const;
     [[nodiscard]] std::uint32_t totalInFlight(const endpoint &value, time_point now) const;
-    [[nodiscard]] candidate rate(const endpoint &value, const placement_request &request, double usualTime,
+    [[nodiscard]] candidate rate(const endpoint &value, const placement_request &request, const usual_times &usual,
                                  time_point now) const;
     void rateReading(const placement_request &request, std::vector<candidate> &candidates, time_point now) const;
-    [[nodiscard]] double usualServiceTime(const std::string &service) const;
+    [[nodiscard]] usual_times usualTimes(const std::string &service) const;
+    // How many times as long as usual the endpoint takes for an event, as far as that is known and recent; at least 1.
+    [[nodiscard]] static double slownessOf(const endpoint &value, const usual_times &usual, time_point now);
     [[nodiscard]] std::uint32_t connectionLimit(const std::string &service) const;
     void forgetGone(time_point now);
 
--- a/src/fleet/fleet_test.cc
+++ b/src/fleet/fleet_test.cc
@@ -198,4 +198,37 @@
     EXPECT_DOUBLE_EQ(one.utilisation("llm", clock.now()), 1.0 / (engines - 1));
 }
 
+// Guards against programs that are late because their line stays at an engine that has become slow, and against an
+// engine that is never tried again after it was.
+TEST_F(placement_test, SlowEnginesAreAvoidedForAWhile)
+{
+    const auto turn = turnOf(1, "shared");
+    const auto home = chosenBy(one, turn, 0);
+    for (int event = 0; event < 10; ++event) {
+        for (int engine = 0; engine < engines; ++engine) {
+            const auto id = fmt::format("e{}", engine);
+            one.onEvents(id, 1, id == home ? 175ms : 35ms, clock.now());
+        }
+    }
+    EXPECT_NE(chosenBy(one, turn, 0), home);
+    const auto lessRoom = one.utilisation("llm", clock.now());
+    one.setPeerLoads("peer", {{"e0", slots}}, clock.now());
+    EXPECT_GT(one.utilisation("llm", clock.now()), 1.0 / engines + lessRoom);
+    one.forgetPeer("peer");
+    clock.advance(5s);
+    EXPECT_EQ(chosenBy(one, turn, 0), home);
+}
+
+// Guards against lines that move because engines with more requests in their batch are a little slower.
+TEST_F(placement_test, LoadIsNotTakenForSlowness)
+{
+    const auto turn = turnOf(1, "shared");
+    const auto home = chosenBy(one, turn, 0);
+    for (int engine = 0; engine < engines; ++engine) {
+        const auto id = fmt::format("e{}", engine);
+        one.onEvents(id, 1, id == home ? 45ms : 35ms, clock.now());
+    }
+    EXPECT_EQ(chosenBy(one, turn, 0), home);
+}
+
 } // namespace jackdawpick::fleet
--- a/src/fleet/placement.cc
+++ b/src/fleet/placement.cc
@@ -23,8 +23,11 @@
 constexpr double newConnectionCost = 2;
 constexpr double defaultServiceTime = 300;
 constexpr double pausedCost = 10000; // Endpoints that failed are used only if all others are worse.
-// An endpoint that was slower than usual is taken to stay slower by this part of the difference.
+// A plain service's endpoint that was slower than usual is taken to stay slower by this part of the difference.
 constexpr double slownessWeight = 0.5;
+constexpr double noticedSlowness = 1.5; // Less comes from the load.
+// An engine that was slow is tried again after this time without a stream from it.
+constexpr std::chrono::milliseconds slownessLife{4000};
 
 // The endpoint with the highest weight for a key is the same for all daemons (rendezvous hashing).
 std::uint64_t weightFor(const std::string &key, const std::string &endpoint)
@@ -34,33 +37,62 @@
 
 } // namespace
 
-double endpoint_pool::usualServiceTime(const std::string &service) const
+endpoint_pool::usual_times endpoint_pool::usualTimes(const std::string &service) const
 {
     double sum = 0;
     std::size_t count = 0;
+    std::vector<double> gaps;
     for (const auto &[id, value] : m_endpoints) {
-        if (value.entry.service == service && value.serviceMilliseconds.has_value()) {
+        if (value.entry.service != service) {
+            continue;
+        }
+        if (value.serviceMilliseconds.has_value()) {
             sum += *value.serviceMilliseconds;
             ++count;
         }
+        if (value.eventMilliseconds.has_value()) {
+            gaps.push_back(*value.eventMilliseconds);
+        }
+    }
+    usual_times usual{.service = count == 0 ? defaultServiceTime : sum / static_cast<double>(count), .event = {}};
+    if (!gaps.empty()) {
+        const auto middle = gaps.begin() + static_cast<std::ptrdiff_t>(gaps.size() / 2);
+        std::ranges::nth_element(gaps, middle);
+        usual.event = *middle;
+    }
+    return usual;
+}
+
+double endpoint_pool::slownessOf(const endpoint &value, const usual_times &usual, time_point now)
+{
+    if (!value.eventMilliseconds.has_value() || usual.event.value_or(0) <= 0
+        || now - value.eventsSeen >= slownessLife) {
+        return 1;
     }
-    return count == 0 ? defaultServiceTime : sum / static_cast<double>(count);
+    const std::chrono::duration<double> age = now - value.eventsSeen;
+    const double weight = 1 - age / std::chrono::duration<double>(slownessLife);
+    const double ratio = *value.eventMilliseconds / *usual.event;
+    return ratio < noticedSlowness ? 1 : 1 + (ratio - 1) * weight;
 }
 
-endpoint_pool::candidate endpoint_pool::rate(const endpoint &value, const placement_request &request, double usualTime,
-                                             time_point now) const
+endpoint_pool::candidate endpoint_pool::rate(const endpoint &value, const placement_request &request,
+                                             const usual_times &usual, time_point now) const
 {
     const double busy = totalInFlight(value, now);
     const double slots = std::max(value.entry.slots, 1U);
-    const double ownTime = value.serviceMilliseconds.value_or(usualTime);
+    const double slowness = slownessOf(value, usual, now);
+    const bool isStream = request.outputTokens > 0;
+    const double ownTime = isStream ? usual.service * slowness : value.serviceMilliseconds.value_or(usual.service);
     const double wait = busy < slots ? 0 : (busy - slots + 1) / slots * ownTime;
     const double batch = std::min(busy, slots);
     // A request delays each other one of the batch as much as that one delays it.
     double cost = wait + 2 * batch * slowdownPerToken * request.outputTokens;
-    if (request.outputTokens == 0) {
-        cost += busy / slots; // Plain services: the emptier one among the idle.
+    if (isStream) {
+        cost += ownTime - usual.service;
+    } else {
+        cost += busy / slots; // The emptier one among the idle.
+        cost += std::max(0.0, ownTime - usual.service) * slownessWeight;
     }
-    cost += std::max(0.0, ownTime - usualTime) * slownessWeight;
     cost += value.entry.zone == request.zone ? 0 : otherZoneCost;
     cost += value.pausedUntil > now ? pausedCost : 0;
     const bool hasKeptConnection = value.inFlight < value.recentPeak && now - value.peakAt < keptConnectionLife;
@@ -100,13 +132,13 @@
 
 std::optional<placement> endpoint_pool::choose(const placement_request &request, double noise, time_point now) const
 {
-    const double usualTime = usualServiceTime(request.service);
+    const auto usual = usualTimes(request.service);
     const auto limit = connectionLimit(request.service);
     std::vector<candidate> candidates;
     for (const auto &[id, value] : m_endpoints) {
         if (value.entry.service == request.service && isUsable(value, now) && value.inFlight < limit
             && !request.excluded.contains(id)) {
-            candidates.push_back(rate(value, request, usualTime, now));
+            candidates.push_back(rate(value, request, usual, now));
         }
     }
     if (candidates.empty()) {
--- a/src/gateway/dispatching.cc
+++ b/src/gateway/dispatching.cc
@@ -185,6 +185,7 @@
 void gateway::implementation::passEvents(call &value, const std::string &bytes, time_point now)
 {
     std::string passed;
+    const auto eventsBefore = value.eventCount;
     for (const auto &piece : value.events.append(bytes)) {
         passed += piece.raw;
         if (piece.hasData) {
@@ -195,6 +196,12 @@
             }
         }
     }
+    if (const auto events = value.eventCount - eventsBefore; events > 0) {
+        if (value.lastEventAt.has_value()) {
+            m_pool.onEvents(value.endpoint, events, millisecondsBetween(*value.lastEventAt, now), now);
+        }
+        value.lastEventAt = now;
+    }
     if (passed.empty()) {
         return;
     }
--- a/src/gateway/internal/call.h
+++ b/src/gateway/internal/call.h
@@ -56,6 +56,7 @@
     bool eventStream = false;
     event_splitter events;
     std::uint32_t eventCount = 0;
+    std::optional<time_point> lastEventAt;
     std::string output; // Data of the events of a retained turn, or the body of a held answer.
     time_point saveDeadline{};
     std::optional<time_point> firstByteAt;
