Stop requests that crash one endpoint after the other

Cause: nothing remembered them.

Each daemon notes which endpoints broke while they ran a request, by a hash of what its repetitions have in common, and tells the other daemons at once. After three endpoints without an answer the request is refused as not run; an answer clears it, so that a request that met three failing endpoints for another reason goes on.

Test: Repetition.RequestThatCrashesEndpointsIsStopped, through three daemons in turn.

--- a/src/gateway/dispatching.cc
+++ b/src/gateway/dispatching.cc
@@ -228,6 +228,7 @@
 void gateway::implementation::onWholeAnswer(call &value, time_point now)
 {
     releaseEndpoint(value, fleet::finish::Answered, now);
+    m_crashes.onAnswered(value.content);
     if (value.heldHead.has_value()) {
         m_out.emplace_back(
             begin_answer{value.id, value.heldHead->status, value.heldHead->headers, value.heldHead->contentLength});
@@ -256,6 +257,10 @@
     logCall(log_level::Warning, "endpoint_failed", value,
             {{"endpoint", value.endpoint}, {"how", nameOf(how)}, {"send", value.sends}, {"answered", value.answered}},
             now);
+    if (how == dispatch_end::Lost && m_crashes.onBroken(value.content, value.endpoint, now)) {
+        logCall(log_level::Warning, "endpoint_broke", value, {{"endpoint", value.endpoint}, {"content", value.content}},
+                now);
+    }
     releaseEndpoint(value, notSent ? fleet::finish::Unreachable : fleet::finish::Broken, now);
     value.attempts += notSent ? 0 : 1;
     value.heldHead.reset();
@@ -266,7 +271,9 @@
     }
     value.output.clear();
     value.tried.insert(value.endpoint);
-    if ((notSent && value.sends < maxSends) || mayRunAgain(value, now)) {
+    if (m_crashes.isBlocked(value.content, now)) {
+        refuseCall(value, 502, std::nullopt, "crashes_endpoints", now);
+    } else if ((notSent && value.sends < maxSends) || mayRunAgain(value, now)) {
         dispatch(value, now);
     } else if (notSent) {
         refuseCall(value, 503, noEndpointRetry, "endpoints_unreachable", now);
--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -276,6 +276,34 @@
     }
 }
 
+// Guards against a request that takes down one endpoint after the other, through whichever daemon it comes.
+TEST(Repetition, RequestThatCrashesEndpointsIsStopped)
+{
+    gateway_world world({.daemons = 3, .shops = 6});
+    world.settle();
+    for (int i = 0; i < 6; ++i) {
+        world.endpoints[fmt::format("shop-{}", i)] = endpoint_mood::LosesAnswer;
+    }
+    auto request = shopCall("/pay/", "a0");
+    request.body = "crash";
+    constexpr int repetitions = 20;
+    int runs = 0;
+    for (int i = 0; i < repetitions; ++i) {
+        request.attempt = fmt::format("a{}", i);
+        const auto &answer = world.askAndWait(i % 3, request);
+        runs += world.runsOf(request.attempt);
+        if (i >= 10) {
+            EXPECT_EQ(answer.reason, "crashes_endpoints");
+            EXPECT_EQ(world.runsOf(request.attempt), 0);
+        }
+    }
+    EXPECT_LE(runs, 6);
+    world.endpoints.clear();
+    auto other = shopCall("/pay/", "b");
+    other.body = "harmless";
+    EXPECT_EQ(world.askAndWait(0, other).status, 200);
+}
+
 // Guards against engines that go on for a caller who has left.
 TEST(Callers, ThatLeaveCancelTheirWork)
 {
--- a/src/gateway/internal/call.h
+++ b/src/gateway/internal/call.h
@@ -28,6 +28,7 @@
     std::shared_ptr<const routing::route_table> table; // In force when the request arrived.
     const routing::route *route = nullptr;
     std::string service;
+    std::uint64_t content = 0; // Hash of what repetitions of the request have in common.
     time_point arrived;
     time_point deadline;
     bool inGrace = false; // The deadline has passed, and the endpoint's own answer to that is awaited.
--- a/src/gateway/internal/peer_table.cc
+++ b/src/gateway/internal/peer_table.cc
@@ -113,9 +113,14 @@
         return;
     }
     m_beatAt = now + beatInterval();
+    broadcast(own, out);
+}
+
+void peer_table::broadcast(const peers::message &what, std::vector<effect> &out) const
+{
     for (const auto &[name, entry] : m_peers) {
         if (entry.open) {
-            out.emplace_back(send_message{*entry.link, own});
+            out.emplace_back(send_message{*entry.link, what});
         }
     }
 }
--- a/src/gateway/internal/peer_table.h
+++ b/src/gateway/internal/peer_table.h
@@ -44,6 +44,9 @@
     void tick(const peers::beat &own, bool urgent, time_point now, std::vector<effect> &out);
     [[nodiscard]] std::optional<time_point> nextDeadline() const;
 
+    // To all peers to which a link is open.
+    void broadcast(const peers::message &what, std::vector<effect> &out) const;
+
     // Peers that have been heard of lately.
     [[nodiscard]] std::vector<const peers::hello *> alive(time_point now) const;
     [[nodiscard]] std::vector<std::string> readyAddresses(time_point now) const;
--- a/src/gateway/platform_state.cc
+++ b/src/gateway/platform_state.cc
@@ -78,6 +78,7 @@
         m_turns.forgetExpired(now);
         std::erase_if(m_failingUntil, [now](const auto &entry) { return entry.second <= now; });
         forgetIdleBudgets(now);
+        m_crashes.forgetExpired(now);
     }
 }
 
@@ -390,6 +391,8 @@
         m_peers.onBeat(what.link, *beat, now);
         m_pool.setPeerLoads(m_peers.nameOf(what.link), beat->loads, now);
         applyConnectionLimits(now);
+    } else if (const auto *runs = std::get_if<peers::run_reports>(&what.content)) {
+        std::ranges::for_each(runs->reports, [&](const auto &report) { m_crashes.onReport(report, now); });
     } else if (const auto *request = std::get_if<peers::store_request>(&what.content)) {
         startStoreCall(internal::for_peer{what.link, request->id}, request->what, now);
     } else if (const auto *response = std::get_if<peers::store_response>(&what.content)) {
@@ -422,6 +425,9 @@
 void gateway::implementation::tickPeers(time_point now)
 {
     m_peers.tick(ownBeat(now), std::exchange(m_beatNow, false), now, m_out);
+    if (auto reports = m_crashes.takeReports(); !reports.empty()) {
+        m_peers.broadcast(peers::run_reports{std::move(reports)}, m_out);
+    }
 }
 
 // ---- Readiness and shutdown ----
--- a/src/gateway/requests.cc
+++ b/src/gateway/requests.cc
@@ -29,6 +29,14 @@
     return static_cast<double>(XXH3_64bits(key.data(), key.size()) >> 32U) / range;
 }
 
+// Attempts of one caller to have the same request run have the same hash; those of different callers do not.
+std::uint64_t contentOf(const caller_request &request)
+{
+    const auto head = fmt::format("{} {} {} {} {} {} {}", request.method, request.host, request.target, request.program,
+                                  request.session, request.affinity, request.previousTurn);
+    return XXH3_64bits_withSeed(request.body.data(), request.body.size(), XXH3_64bits(head.data(), head.size()));
+}
+
 milliseconds waitingTime(const caller_request &request, const routing::route &route)
 {
     milliseconds longest = request.deadline.value_or(defaultDeadline);
@@ -59,7 +67,12 @@
     value.request = std::move(what.request);
     value.arrived = now;
     value.deadline = now + waitingTime(value.request, *route);
+    value.content = contentOf(value.request);
     m_deadlines.emplace(value.deadline, value.id);
+    if (m_crashes.isBlocked(value.content, now)) {
+        refuseCall(value, 503, std::nullopt, "crashes_endpoints", now);
+        return;
+    }
     prepareCall(value, now);
 }
 
--- a/src/peers/internal/peer_messages_generated.h
+++ b/src/peers/internal/peer_messages_generated.h
@@ -53,6 +53,12 @@
 struct TurnReply;
 struct TurnReplyBuilder;
 
+struct RunReport;
+struct RunReportBuilder;
+
+struct RunReports;
+struct RunReportsBuilder;
+
 struct Message;
 struct MessageBuilder;
 
@@ -151,11 +157,12 @@
   BudgetUse = 7,
   TurnRequest = 8,
   TurnReply = 9,
+  RunReports = 10,
   MIN = NONE,
-  MAX = TurnReply
+  MAX = RunReports
 };
 
-inline const Body (&EnumValuesBody())[10] {
+inline const Body (&EnumValuesBody())[11] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -166,13 +173,14 @@
     Body::BudgetReply,
     Body::BudgetUse,
     Body::TurnRequest,
-    Body::TurnReply
+    Body::TurnReply,
+    Body::RunReports
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[11] = {
+  static const char * const names[12] = {
     "NONE",
     "Hello",
     "Beat",
@@ -183,13 +191,14 @@
     "BudgetUse",
     "TurnRequest",
     "TurnReply",
+    "RunReports",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::TurnReply)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::RunReports)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -234,6 +243,10 @@
   static const Body enum_value = Body::TurnReply;
 };
 
+template<> struct BodyTraits<jackdawpick::peers::fbs::RunReports> {
+  static const Body enum_value = Body::RunReports;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -1368,6 +1381,123 @@
       history__);
 }
 
+struct RunReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RunReportBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REQUEST = 4,
+    VT_ENDPOINT = 6
+  };
+  uint64_t request() const {
+    return GetField<uint64_t>(VT_REQUEST, 0);
+  }
+  const flatbuffers::String *endpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
+           VerifyOffsetRequired(verifier, VT_ENDPOINT) &&
+           verifier.VerifyString(endpoint()) &&
+           verifier.EndTable();
+  }
+};
+
+struct RunReportBuilder {
+  typedef RunReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_request(uint64_t request) {
+    fbb_.AddElement<uint64_t>(RunReport::VT_REQUEST, request, 0);
+  }
+  void add_endpoint(flatbuffers::Offset<flatbuffers::String> endpoint) {
+    fbb_.AddOffset(RunReport::VT_ENDPOINT, endpoint);
+  }
+  explicit RunReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RunReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RunReport>(end);
+    fbb_.Required(o, RunReport::VT_ENDPOINT);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RunReport> CreateRunReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t request = 0,
+    flatbuffers::Offset<flatbuffers::String> endpoint = 0) {
+  RunReportBuilder builder_(_fbb);
+  builder_.add_request(request);
+  builder_.add_endpoint(endpoint);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<RunReport> CreateRunReportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t request = 0,
+    const char *endpoint = nullptr) {
+  auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
+  return jackdawpick::peers::fbs::CreateRunReport(
+      _fbb,
+      request,
+      endpoint__);
+}
+
+struct RunReports FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RunReportsBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REPORTS = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<jackdawpick::peers::fbs::RunReport>> *reports() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<jackdawpick::peers::fbs::RunReport>> *>(VT_REPORTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_REPORTS) &&
+           verifier.VerifyVector(reports()) &&
+           verifier.VerifyVectorOfTables(reports()) &&
+           verifier.EndTable();
+  }
+};
+
+struct RunReportsBuilder {
+  typedef RunReports Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_reports(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<jackdawpick::peers::fbs::RunReport>>> reports) {
+    fbb_.AddOffset(RunReports::VT_REPORTS, reports);
+  }
+  explicit RunReportsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RunReports> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RunReports>(end);
+    fbb_.Required(o, RunReports::VT_REPORTS);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RunReports> CreateRunReports(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<jackdawpick::peers::fbs::RunReport>>> reports = 0) {
+  RunReportsBuilder builder_(_fbb);
+  builder_.add_reports(reports);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<RunReports> CreateRunReportsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<jackdawpick::peers::fbs::RunReport>> *reports = nullptr) {
+  auto reports__ = reports ? _fbb.CreateVector<flatbuffers::Offset<jackdawpick::peers::fbs::RunReport>>(*reports) : 0;
+  return jackdawpick::peers::fbs::CreateRunReports(
+      _fbb,
+      reports__);
+}
+
 struct Message FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef MessageBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1408,6 +1538,9 @@
   const jackdawpick::peers::fbs::TurnReply *body_as_TurnReply() const {
     return body_type() == jackdawpick::peers::fbs::Body::TurnReply ? static_cast<const jackdawpick::peers::fbs::TurnReply *>(body()) : nullptr;
   }
+  const jackdawpick::peers::fbs::RunReports *body_as_RunReports() const {
+    return body_type() == jackdawpick::peers::fbs::Body::RunReports ? static_cast<const jackdawpick::peers::fbs::RunReports *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -1453,6 +1586,10 @@
   return body_as_TurnReply();
 }
 
+template<> inline const jackdawpick::peers::fbs::RunReports *Message::body_as<jackdawpick::peers::fbs::RunReports>() const {
+  return body_as_RunReports();
+}
+
 struct MessageBuilder {
   typedef Message Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1526,6 +1663,10 @@
       auto ptr = reinterpret_cast<const jackdawpick::peers::fbs::TurnReply *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::RunReports: {
+      auto ptr = reinterpret_cast<const jackdawpick::peers::fbs::RunReports *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/src/peers/peers.cc
+++ b/src/peers/peers.cc
@@ -185,6 +185,15 @@
     return fbs::CreateTurnRequest(out, value.id, out.CreateString(value.turn)).Union();
 }
 
+any_offset pack(builder &out, const run_reports &value)
+{
+    std::vector<flatbuffers::Offset<fbs::RunReport>> reports;
+    std::ranges::transform(value.reports, std::back_inserter(reports), [&out](const auto &report) {
+        return fbs::CreateRunReport(out, report.request, out.CreateString(report.endpoint));
+    });
+    return fbs::CreateRunReports(out, out.CreateVector(reports)).Union();
+}
+
 any_offset pack(builder &out, const turn_reply &value)
 {
     return fbs::CreateTurnReply(out, value.id, value.found, packBytes(out, value.history)).Union();
@@ -211,6 +220,15 @@
     return value;
 }
 
+run_reports unpack(const fbs::RunReports &body)
+{
+    run_reports value;
+    std::ranges::transform(*body.reports(), std::back_inserter(value.reports), [](const auto *report) {
+        return crashes::run_report{.request = report->request(), .endpoint = report->endpoint()->str()};
+    });
+    return value;
+}
+
 std::vector<std::string> unpackRecords(const fbs::StoreCall &body)
 {
     std::vector<std::string> records;
@@ -314,6 +332,9 @@
     if (const auto *body = root.body_as_TurnReply()) {
         return turn_reply{body->id(), body->found(), unpack(body->history())};
     }
+    if (const auto *body = root.body_as_RunReports()) {
+        return unpack(*body);
+    }
     return std::nullopt;
 }
 
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -7,6 +7,7 @@
 //
 // Value types; thread compatible.
 
+#include "crashes/crashes.h"
 #include "fleet/fleet.h"
 #include "programs/programs.h"
 #include "store/store.h"
@@ -16,6 +17,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace jackdawpick::peers
 {
@@ -102,8 +104,15 @@
     bool operator==(const turn_reply &) const = default;
 };
 
+// Endpoints that broke while they ran a request, and requests that were answered after all. Not answered.
+struct run_reports
+{
+    std::vector<crashes::run_report> reports;
+    bool operator==(const run_reports &) const = default;
+};
+
 using message = std::variant<hello, beat, store_request, store_response, budget_request, budget_reply, budget_use,
-                             turn_request, turn_reply>;
+                             turn_request, turn_reply, run_reports>;
 
 [[nodiscard]] std::string encodeMessage(const message &value);
 // Nothing if the bytes are not a valid message.
--- a/src/peers/peers_test.cc
+++ b/src/peers/peers_test.cc
@@ -33,7 +33,8 @@
             budget_reply{6, programs::budget_answer::Denied, "n", true},
             budget_use{"p", "a", 243, true},
             turn_request{7, "t"},
-            turn_reply{7, true, binary}};
+            turn_reply{7, true, binary},
+            run_reports{{{8, "e1"}, {9, ""}}}};
 }
 
 } // namespace
