Number the gateway's refusals like those of the own interface

Cause: the gateway refused with free-form reasons, the own interface with numbered codes; the house style asks for one table. Answers, logs and metrics carry the name, answers and logs the number.

--- a/src/gateway/budgets.cc
+++ b/src/gateway/budgets.cc
@@ -71,7 +71,7 @@
     const auto where = programPartition(value.request.program);
     const auto names = deciders(where, now);
     if (value.budgetTries >= std::min<std::size_t>(names.size(), mostDeciders)) {
-        refuseCall(value, 503, storeRetry, "budget_undecided", now);
+        refuseCall(value, result_code::BudgetUndecided, storeRetry, now);
         return;
     }
     const auto &name = names[value.budgetTries];
@@ -169,10 +169,10 @@
             {{"budget", *value.request.tokenBudget}, {"asked", value.request.maxOutputTokens}, {"decider", decider}},
             now);
         value.lastAsked.reset(); // A denied reservation holds nothing.
-        refuseCall(value, 402, std::nullopt, "budget_exceeded", now);
+        refuseCall(value, result_code::BudgetExceeded, std::nullopt, now);
         return;
     case programs::budget_answer::Unavailable:
-        refuseCall(value, 503, storeRetry, "budget_unavailable", now);
+        refuseCall(value, result_code::BudgetUnavailable, storeRetry, now);
         return;
     case programs::budget_answer::Granted:
         break;
--- a/src/gateway/dispatching.cc
+++ b/src/gateway/dispatching.cc
@@ -50,7 +50,7 @@
     const auto retryAfter = admission::delayOf(urgencyOf(value), utilisation, random());
     if (retryAfter.has_value()) {
         logCall(log_level::Info, "program_refused", value, {{"utilisation", utilisation}}, now);
-        refuseCall(value, 503, retryAfter, "engines_full", now);
+        refuseCall(value, result_code::EnginesFull, retryAfter, now);
     }
     return !retryAfter.has_value();
 }
@@ -70,13 +70,13 @@
 {
     const auto remaining = millisecondsBetween(now, value.deadline);
     if (remaining < shortestOffer) {
-        refuseCall(value, 503, std::nullopt, "deadline_before_dispatch", now);
+        refuseCall(value, result_code::DeadlineBeforeDispatch, std::nullopt, now);
         return;
     }
     const auto request = placementOf(value);
     const auto where = m_pool.choose(request, random(), now);
     if (!where.has_value()) {
-        refuseCall(value, 503, noEndpointRetry, "no_endpoint", now);
+        refuseCall(value, result_code::NoEndpoint, noEndpointRetry, now);
         return;
     }
     m_pool.onDispatched(where->id, now);
@@ -145,7 +145,7 @@
     if (value.sends < maxSends) {
         dispatch(value, now);
     } else {
-        refuseCall(value, 503, fullRetry, "rejected_by_endpoints", now);
+        refuseCall(value, result_code::RejectedByEndpoints, fullRetry, now);
     }
 }
 
@@ -272,13 +272,13 @@
     value.output.clear();
     value.tried.insert(value.endpoint);
     if (m_crashes.isBlocked(value.content, now)) {
-        refuseCall(value, 502, std::nullopt, "crashes_endpoints", now);
+        refuseCall(value, result_code::OutcomeUnknown, std::nullopt, now);
     } else if ((notSent && value.sends < maxSends) || mayRunAgain(value, now)) {
         dispatch(value, now);
     } else if (notSent) {
-        refuseCall(value, 503, noEndpointRetry, "endpoints_unreachable", now);
+        refuseCall(value, result_code::EndpointsUnreachable, noEndpointRetry, now);
     } else {
-        refuseCall(value, 502, std::nullopt, "outcome_unknown", now);
+        refuseCall(value, result_code::OutcomeUnknown, std::nullopt, now);
     }
 }
 
--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -6,6 +6,7 @@
 #include "logging/logging.h"
 #include "metrics/metrics.h"
 #include "peers/peers.h"
+#include "results/results.h"
 #include "store/store.h"
 
 #include <chrono>
@@ -160,9 +161,8 @@
 struct refuse
 {
     caller_id caller{};
-    std::uint16_t status = 503;
+    result_code code = result_code::NotReady;
     std::optional<std::chrono::milliseconds> retryAfter;
-    std::string reason;
 };
 
 struct start_dispatch
--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -293,7 +293,7 @@
         const auto &answer = world.askAndWait(i % 3, request);
         runs += world.runsOf(request.attempt);
         if (i >= 10) {
-            EXPECT_EQ(answer.reason, "crashes_endpoints");
+            EXPECT_EQ(answer.refusal, result_code::RequestBlocked);
             EXPECT_EQ(world.runsOf(request.attempt), 0);
         }
     }
@@ -342,7 +342,8 @@
         world.runFor(3s);
         auto &answer = world.ask(0, turnOf("p", "a"));
         world.runFor(2s);
-        EXPECT_EQ(answer.status, 200) << answer.reason << " refuses " << refuses;
+        EXPECT_EQ(answer.status, 200) << describe(answer.refusal.value_or(result_code::Ok)).name << " refuses "
+                                      << refuses;
         EXPECT_TRUE(answer.complete);
         auto next = world.ask(0, turnOf("p", "b", 1000, "a"));
         auto changed = routing::configuration{.version = 5, .routes = {}, .services = {}};
@@ -473,7 +474,7 @@
     }
     const auto &begins = world.askAndWait(0, turnOf("begins", "b"));
     EXPECT_EQ(begins.status, 503);
-    EXPECT_EQ(begins.reason, "engines_full");
+    EXPECT_EQ(begins.refusal, result_code::EnginesFull);
     EXPECT_GT(begins.retryAfter, 0ms);
     EXPECT_EQ(world.runsOf("b"), 0);
     const auto &goesOn = world.askAndWait(1, turnOf("under-way", "c", 1000, "a"));
--- a/src/gateway/internal/call.h
+++ b/src/gateway/internal/call.h
@@ -4,6 +4,7 @@
 
 #include "gateway/events.h"
 #include "gateway/internal/event_splitter.h"
+#include "results/results.h"
 #include "routing/routing.h"
 
 #include <memory>
@@ -54,6 +55,7 @@
     std::optional<endpoint_head> heldHead; // Of an answer that is passed on only when it is whole.
     bool answered = false; // The head has been passed on.
     std::uint16_t status = 0;
+    std::optional<result_code> refusal;
     bool eventStream = false;
     event_splitter events;
     std::uint32_t eventCount = 0;
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -63,10 +63,9 @@
     // requests.cc
     [[nodiscard]] const routing::route *routeOf(const caller_request &request) const;
     void prepareCall(call &value, time_point now);
-    void refuseArrival(const request_arrived &what, std::uint16_t status,
-                       std::optional<std::chrono::milliseconds> retryAfter, std::string_view reason);
-    void refuseCall(call &value, std::uint16_t status, std::optional<std::chrono::milliseconds> retryAfter,
-                    std::string_view reason, time_point now);
+    void refuseArrival(const request_arrived &what, result_code code,
+                       std::optional<std::chrono::milliseconds> retryAfter);
+    void refuseCall(call &value, result_code code, std::optional<std::chrono::milliseconds> retryAfter, time_point now);
     void finishCall(call &value, std::string_view outcome, time_point now);
     void expireCalls(time_point now);
     void expireCall(call &value, time_point now);
--- a/src/gateway/requests.cc
+++ b/src/gateway/requests.cc
@@ -51,12 +51,12 @@
 void gateway::implementation::on(request_arrived &what, time_point now)
 {
     if (m_table == nullptr) {
-        refuseArrival(what, 503, noConfigurationRetry, "no_configuration");
+        refuseArrival(what, result_code::NotReady, noConfigurationRetry);
         return;
     }
     const auto *route = routeOf(what.request);
     if (route == nullptr) {
-        refuseArrival(what, 404, std::nullopt, "no_route");
+        refuseArrival(what, result_code::UnknownRoute, std::nullopt);
         return;
     }
     auto &value = m_calls[what.caller];
@@ -70,7 +70,7 @@
     value.content = contentOf(value.request);
     m_deadlines.emplace(value.deadline, value.id);
     if (m_crashes.isBlocked(value.content, now)) {
-        refuseCall(value, 503, std::nullopt, "crashes_endpoints", now);
+        refuseCall(value, result_code::RequestBlocked, std::nullopt, now);
         return;
     }
     prepareCall(value, now);
@@ -80,7 +80,7 @@
 {
     const bool needsStore = hasBudget(value) || value.route->retainsTurns;
     if (needsStore && !storeAvailable(now)) {
-        refuseCall(value, 503, storeRetry, "store_unavailable", now);
+        refuseCall(value, result_code::LogUnavailable, storeRetry, now);
         return;
     }
     value.historyPending = value.route->retainsTurns && !value.request.previousTurn.empty();
@@ -111,24 +111,28 @@
     finishCall(*value, "caller_gone", now);
 }
 
-void gateway::implementation::refuseArrival(const request_arrived &what, std::uint16_t status,
-                                            std::optional<milliseconds> retryAfter, std::string_view reason)
+void gateway::implementation::refuseArrival(const request_arrived &what, result_code code,
+                                            std::optional<milliseconds> retryAfter)
 {
+    const auto &refusal = describe(code);
     log(log_level::Info, "request_refused",
         {{"request", what.request.attempt},
-         {"status", status},
-         {"reason", reason},
+         {"outcome", refusal.name},
+         {"code", static_cast<std::uint16_t>(code)},
+         {"status", refusal.httpStatus},
          {"configuration", m_table == nullptr ? 0 : m_table->source().version}});
-    m_out.emplace_back(count_event{metric::Requests, "none", std::string(reason)});
-    m_out.emplace_back(refuse{what.caller, status, retryAfter, std::string(reason)});
+    m_out.emplace_back(count_event{metric::Requests, "none", std::string(refusal.name)});
+    m_out.emplace_back(refuse{what.caller, code, retryAfter});
 }
 
-void gateway::implementation::refuseCall(call &value, std::uint16_t status, std::optional<milliseconds> retryAfter,
-                                         std::string_view reason, time_point now)
+void gateway::implementation::refuseCall(call &value, result_code code, std::optional<milliseconds> retryAfter,
+                                         time_point now)
 {
-    value.status = status;
-    m_out.emplace_back(refuse{value.id, status, retryAfter, std::string(reason)});
-    finishCall(value, reason, now);
+    const auto &refusal = describe(code);
+    value.status = refusal.httpStatus;
+    value.refusal = code;
+    m_out.emplace_back(refuse{value.id, code, retryAfter});
+    finishCall(value, refusal.name, now);
 }
 
 // Settles the budget, writes the final line and forgets the call, which must not be used afterwards.
@@ -136,6 +140,9 @@
 {
     settle(value, false, now);
     std::vector<log_field> fields{{"outcome", outcome}, {"status", value.status}, {"sends", value.sends}};
+    if (value.refusal.has_value()) {
+        fields.emplace_back("code", static_cast<std::uint16_t>(*value.refusal));
+    }
     if (!value.endpoint.empty()) {
         fields.emplace_back("endpoint", value.endpoint);
     }
@@ -178,7 +185,7 @@
 {
     switch (value.phase) {
     case call_phase::Preparing:
-        refuseCall(value, 503, std::nullopt, "deadline_before_dispatch", now);
+        refuseCall(value, result_code::DeadlineBeforeDispatch, std::nullopt, now);
         return;
     case call_phase::Saving:
         return; // Ends with the result of the append.
@@ -199,7 +206,7 @@
         m_out.emplace_back(abort_answer{value.id});
         finishCall(value, "deadline_during_answer", now);
     } else {
-        refuseCall(value, 504, std::nullopt, "deadline_at_endpoint", now);
+        refuseCall(value, result_code::DeadlineExceeded, std::nullopt, now);
     }
 }
 
--- a/src/gateway/testing/gateway_world.cc
+++ b/src/gateway/testing/gateway_world.cc
@@ -253,9 +253,9 @@
 void gateway_world::on(int daemon, const refuse &what)
 {
     if (auto *view = viewOf(daemon, what.caller)) {
-        view->status = what.status;
+        view->status = describe(what.code).httpStatus;
         view->retryAfter = what.retryAfter;
-        view->reason = what.reason;
+        view->refusal = what.code;
         view->complete = true;
         view->endedAt = now();
     }
--- a/src/gateway/testing/gateway_world.h
+++ b/src/gateway/testing/gateway_world.h
@@ -29,7 +29,7 @@
     bool complete = false;
     bool aborted = false; // The connection ended before the end of the answer.
     std::optional<std::chrono::milliseconds> retryAfter;
-    std::string reason; // Of a refusal.
+    std::optional<result_code> refusal;
     time_point endedAt{};
 
     [[nodiscard]] bool ended() const
--- a/src/gateway/turns.cc
+++ b/src/gateway/turns.cc
@@ -74,7 +74,7 @@
 {
     const auto &turn = value.request.previousTurn;
     if (!storeAvailable(now)) {
-        refuseCall(value, 503, storeRetry, "store_unavailable", now);
+        refuseCall(value, result_code::LogUnavailable, storeRetry, now);
         return;
     }
     if (const auto place = m_turns.locate(turn); place.has_value()) {
@@ -101,9 +101,9 @@
         value.secondPlace = true;
         readHistory(value, now);
     } else if (value.historyUncertain) {
-        refuseCall(value, 503, storeRetry, "history_not_read", now);
+        refuseCall(value, result_code::HistoryUnavailable, storeRetry, now);
     } else {
-        refuseCall(value, 404, std::nullopt, "no_such_turn", now);
+        refuseCall(value, result_code::UnknownTurn, std::nullopt, now);
     }
 }
 
@@ -113,13 +113,13 @@
     value.historyPending = false;
     const auto *read = std::get_if<store::records_read>(&result);
     if (read == nullptr || read->records.empty()) {
-        refuseCall(value, 503, storeRetry, "history_not_read", now);
+        refuseCall(value, result_code::HistoryUnavailable, storeRetry, now);
         return;
     }
     const auto record = programs::decodeRecord(read->records.front().value);
     const auto *turn = record.has_value() ? std::get_if<programs::turn>(&*record) : nullptr;
     if (turn == nullptr || turn->id != value.request.previousTurn) {
-        refuseCall(value, 503, storeRetry, "history_not_read", now);
+        refuseCall(value, result_code::HistoryUnavailable, storeRetry, now);
         return;
     }
     value.history = turn->history;
