Believe a store that has become slow at its first answer

Calls were given up after 80, 160 and 320 ms; after the first answer the usual time rose by a fifth of the difference, so the next call got 224 ms and was given up again. An append that is given up has to be read back first: a reservation took 0.99 s instead of some 0.3 s.

The usual time now rises to that of the newest answer at once and falls slowly.

The program's deadline is no longer decoded: nothing uses it yet.

--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -39,7 +39,6 @@
     std::string body;
     std::optional<std::chrono::milliseconds> deadline; // How long the caller waits.
     std::string program; // Empty outside programs.
-    std::optional<std::chrono::milliseconds> programDeadline; // Until the whole program should have ended.
     std::string session; // One line of turns of a program.
     std::string previousTurn; // Attempt of the turn that this one continues.
     std::optional<std::uint32_t> tokenBudget; // Generated tokens of the whole program.
--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -394,6 +394,31 @@
     EXPECT_EQ(again.status, 200);
 }
 
+// Guards against calls that are given up and repeated again and again because the store has become slow: a turn takes
+// one call before it and one after it.
+TEST(Store, SlowAnswersAreWaitedFor)
+{
+    constexpr auto slow = 240ms;
+    gateway_world world({.daemons = 3});
+    world.settle();
+    ASSERT_TRUE(
+        world.askAndWait(0, turnOf("p", "first", 10000)).complete); // The budgets of its partition are read once.
+    for (int i = 0; i < 3; ++i) {
+        world.stores[i].delay = slow;
+    }
+    constexpr int rounds = 12;
+    for (int round = 0; round < rounds; ++round) {
+        const auto began = world.now();
+        const auto &answer = world.ask(round % 3, turnOf("p", fmt::format("a{}", round), 10000));
+        world.runFor(2s);
+        ASSERT_TRUE(answer.complete) << round;
+        if (round >= 3) { // Each daemon has met the slow store once.
+            EXPECT_EQ(answer.status, 200) << round;
+            EXPECT_LE(answer.endedAt - began, 2 * slow + 250ms) << round;
+        }
+    }
+}
+
 // Guards against an older configuration that comes back, and against requests before there is one.
 TEST(Configuration, VersionsOnlyIncrease)
 {
--- a/src/gateway/internal/store_access.cc
+++ b/src/gateway/internal/store_access.cc
@@ -87,6 +87,8 @@
 
 void store_access::learnTime(const direct_call &call, const store::reply &result, time_point now)
 {
+    // A store that has become slow is believed at once: calls that are given up while it still works on them have to be
+    // read back and repeated.
     constexpr double newestWeight = 0.2;
     const auto *reason = std::get_if<store::failure>(&result);
     if (reason != nullptr) {
@@ -96,7 +98,7 @@
     m_timeoutsInRow = 0;
     if (call.wait.count() == 0) {
         const std::chrono::duration<double, std::milli> took = now - call.started;
-        m_usualTime = m_usualTime * (1 - newestWeight) + took * newestWeight;
+        m_usualTime = std::max(took, m_usualTime * (1 - newestWeight) + took * newestWeight);
     }
 }
 
