Write settlements that wait behind an append after a question in an outage

Cause, found by reading: a question to a partition that is away sets the mark that it must be read before anything is appended, but starts no read while an append is under way. If that append then succeeded, nothing read the partition until the next question, so settlements stayed unwritten and their tokens reserved.

A reply now starts the read if records wait for it.

Test: SettlementsAreWrittenAfterAQuestionInAnOutage; it fails on the version before.

--- a/src/programs/budget_partition.cc
+++ b/src/programs/budget_partition.cc
@@ -195,7 +195,7 @@
     }
     expire(now);
     startAppend(now);
-    if (!m_waiting.empty()) {
+    if (!m_waiting.empty() || (m_mustRead && !m_unwritten.empty())) {
         startRead();
     }
 }
--- a/src/programs/budget_partition_test.cc
+++ b/src/programs/budget_partition_test.cc
@@ -265,6 +265,37 @@
     EXPECT_EQ(one.answerTo("4"), budget_answer::Granted);
 }
 
+// Guards against settlements that stay unwritten, and tokens that stay reserved, after a question met a partition that
+// was away while an append was under way.
+TEST_F(budget_partition_test, SettlementsAreWrittenAfterAQuestionInAnOutage)
+{
+    ask(one, "1");
+    ask(one, "2");
+    run(one);
+    use(one, "1", 10);
+    clock.advance(budget_partition::groupingTime);
+    one.budgets.tick(clock.now());
+    one.collect();
+    for (int i = 0; i < 4; ++i) {
+        ASSERT_EQ(one.calls.size(), 1U);
+        reply(one, store::failure::Refused);
+        clock.advance(100ms);
+        one.budgets.tick(clock.now());
+        one.collect();
+    }
+    use(one, "2", 20);
+    ask(one, "3");
+    EXPECT_EQ(one.answerTo("3"), budget_answer::Unavailable);
+    ASSERT_EQ(one.calls.size(), 1U);
+    reply(one, log.execute(one.calls.front().what)); // The append; the store is back.
+    for (int i = 0; i < 10; ++i) {
+        run(one);
+    }
+    EXPECT_FALSE(one.budgets.hasUnwritten());
+    EXPECT_EQ(one.budgets.usageOf("p").reserved, 0U);
+    EXPECT_EQ(one.budgets.usageOf("p").spent, 30U);
+}
+
 // Guards against a read beside an append: it found the records of the append, which were then taken off the list a
 // second time, together with others that had not been written (a crash on klitvagt-serve, mix --seed 1062481154085).
 TEST_F(budget_partition_test, NoAppendRunsBesideARead)
