Deny reservations only because of written records

Cause: a reservation whose append failed stayed among the unwritten records as "maybe written" after its request had been answered with Unavailable. Nothing cleared the mark, not even a reply that says that the append was not executed, so it took its tokens from the budget until the daemon ended. The next attempt of the same turn no longer fitted and was denied.

Fix: a denial rests on the ledger of written records and on settlements that are due. A reservation that fits by these is appended, and the order of the log decides between it and others in flight. One whose request has expired is not appended again; if an append of it got no reply it is remembered, for the figures only, until the partition has grown past its place. A request that is settled before its reservation was appended is answered (its entry stayed in memory before). A settlement is always written, since another daemon may have written the reservation, and starts the read that it needs.

Ruled out: a settlement with 0 tokens by the decider itself (exceeds the budget, see DaemonThatAnswersTooLateLosesNoTokens).

The full store that made the appends fail is a fault of its own and still open.

--- a/src/programs/budget_ledger.cc
+++ b/src/programs/budget_ledger.cc
@@ -5,15 +5,30 @@
 namespace jackdawpick::programs
 {
 
+std::string_view programOf(const program_record &value)
+{
+    if (const auto *reserved = std::get_if<reservation>(&value)) {
+        return reserved->program;
+    }
+    const auto *settled = std::get_if<settlement>(&value);
+    return settled == nullptr ? std::string_view() : settled->program;
+}
+
 void budget_ledger::apply(const program_record &value, time_point now)
+{
+    if (std::holds_alternative<turn>(value)) {
+        return;
+    }
+    auto &program = m_programs[std::string(programOf(value))];
+    program.lastRecord = now;
+    applyTo(program, value);
+}
+
+void budget_ledger::applyTo(program_state &program, const program_record &value)
 {
     if (const auto *reserved = std::get_if<reservation>(&value)) {
-        auto &program = m_programs[reserved->program];
-        program.lastRecord = now;
         reserve(program, *reserved);
     } else if (const auto *settled = std::get_if<settlement>(&value)) {
-        auto &program = m_programs[settled->program];
-        program.lastRecord = now;
         settle(program, *settled);
     }
 }
@@ -87,6 +102,17 @@
     return state == m_programs.end() ? budget_usage{} : state->second.usage;
 }
 
+budget_usage budget_ledger::usageAfter(const std::string &program, std::span<const program_record> records) const
+{
+    if (records.empty()) {
+        return usageOf(program);
+    }
+    const auto found = m_programs.find(program);
+    auto state = found == m_programs.end() ? program_state{} : found->second;
+    std::ranges::for_each(records, [&state](const program_record &value) { applyTo(state, value); });
+    return state.usage;
+}
+
 void budget_ledger::evictIdle(time_point now)
 {
     std::erase_if(m_programs, [now](const auto &entry) { return now - entry.second.lastRecord > idleRetention; });
--- a/src/programs/budget_partition.cc
+++ b/src/programs/budget_partition.cc
@@ -48,9 +48,8 @@
         respond(request, budget_decision::Granted);
         return;
     }
-    const auto usage = usageOf(request.program);
-    const auto committedTokens = usage.spent + usage.reserved;
-    if (committedTokens + request.tokens > request.budget) {
+    const auto usage = certainUsageOf(request.program);
+    if (usage.spent + usage.reserved + request.tokens > request.budget) {
         if (isViewFresh(now)) {
             respond(request, budget_decision::Denied);
         } else {
@@ -71,18 +70,36 @@
 
 void budget_partition::settle(const settlement &use, time_point now)
 {
-    // If nothing was used, a reservation that no append contains yet need not be written.
-    const auto isSameRequest = [&use](const unwritten_record &entry) {
-        const auto *reserved = std::get_if<reservation>(&entry.record);
-        return reserved != nullptr && reserved->program == use.program && reserved->attempt == use.attempt;
-    };
-    const auto found = std::ranges::find_if(m_unwritten, isSameRequest);
-    if (found != m_unwritten.end() && !found->maybeWritten && use.tokens == 0) {
-        m_unwritten.erase(found);
-        return;
-    }
+    withdraw(use);
     m_unwritten.push_back({.record = use, .since = now, .deadline = std::nullopt});
     startAppend(now);
+    startRequiredRead();
+}
+
+// Removes what still waits for a reservation of a finished request. The settlement is written all the same: another
+// daemon may have written the reservation.
+void budget_partition::withdraw(const settlement &use)
+{
+    const auto isSameRequest = [&use](const reservation &request) {
+        return request.program == use.program && request.attempt == use.attempt;
+    };
+    std::erase_if(m_pendingRequests, [&](const pending_request &entry) {
+        const bool withdrawn = isSameRequest(entry.request);
+        if (withdrawn) {
+            respond(entry.request, budget_decision::Unavailable);
+        }
+        return withdrawn;
+    });
+    const auto firstNotInFlight = m_unwritten.begin() + static_cast<std::ptrdiff_t>(m_appendingCount);
+    const auto removed = std::remove_if(firstNotInFlight, m_unwritten.end(), [&](const unwritten_record &entry) {
+        const auto *reserved = std::get_if<reservation>(&entry.record);
+        const bool withdrawn = reserved != nullptr && isSameRequest(*reserved);
+        if (withdrawn) {
+            respond(*reserved, budget_decision::Unavailable);
+        }
+        return withdrawn;
+    });
+    m_unwritten.erase(removed, m_unwritten.end());
 }
 
 bool budget_partition::isGranted(const reservation &request) const
@@ -101,26 +118,31 @@
     return m_failures >= failuresUntilUnavailable && now - m_failingSince >= unavailableAfter;
 }
 
-budget_usage budget_partition::usageOf(const std::string &program) const
+// Written records and settlements that are known to be due. A denial may rest on nothing else: a reservation that is
+// not written may never be, and if it is, the order in the log decides between it and later ones.
+budget_usage budget_partition::certainUsageOf(const std::string &program) const
 {
-    auto usage = m_ledger.usageOf(program);
-    std::unordered_map<std::string, std::uint32_t> unwrittenReservations;
+    std::vector<program_record> settlements;
     for (const auto &entry : m_unwritten) {
-        if (const auto *reserved = std::get_if<reservation>(&entry.record); reserved != nullptr) {
-            if (reserved->program == program) {
-                usage.reserved += reserved->tokens;
-                unwrittenReservations[reserved->attempt] = reserved->tokens;
-            }
-        } else if (const auto &settled = std::get<settlement>(entry.record); settled.program == program) {
-            const auto unwrittenReservation = unwrittenReservations.find(settled.attempt);
-            const auto committedTokens = unwrittenReservation != unwrittenReservations.end()
-                ? unwrittenReservation->second
-                : m_ledger.tokensOf(program, settled.attempt);
-            usage.reserved -= std::min<std::uint64_t>(usage.reserved, committedTokens);
-            usage.spent += settled.tokens;
+        if (const auto *settled = std::get_if<settlement>(&entry.record);
+            settled != nullptr && settled->program == program) {
+            settlements.emplace_back(*settled);
         }
     }
-    return usage;
+    return m_ledger.usageAfter(program, settlements);
+}
+
+budget_usage budget_partition::usageOf(const std::string &program) const
+{
+    std::vector<program_record> records;
+    const auto addRecord = [&](const unwritten_record &entry) {
+        if (programOf(entry.record) == program) {
+            records.push_back(entry.record);
+        }
+    };
+    std::ranges::for_each(m_abandoned, addRecord);
+    std::ranges::for_each(m_unwritten, addRecord);
+    return m_ledger.usageAfter(program, records);
 }
 
 bool budget_partition::hasUnwrittenRecords() const
@@ -152,7 +174,6 @@
     std::ranges::transform(m_unwritten, std::back_inserter(call.records),
                            [](const unwritten_record &entry) { return encodeRecord(entry.record); });
     m_appendingCount = m_unwritten.size();
-    std::ranges::for_each(m_unwritten, [](unwritten_record &entry) { entry.maybeWritten = true; });
     m_appendCall = budget_call_id{++m_lastCall};
     m_retryAt.reset();
     m_outputs.emplace_back(start_budget_call{.id = *m_appendCall, .call = std::move(call)});
@@ -168,6 +189,14 @@
         start_budget_call{.id = *m_readCall, .call = store::read_call{.where = m_where, .from = m_nextOffset}});
 }
 
+// Starts a read if a request or an unwritten record waits for one.
+void budget_partition::startRequiredRead()
+{
+    if (!m_pendingRequests.empty() || (m_readRequired && !m_unwritten.empty())) {
+        startRead();
+    }
+}
+
 void budget_partition::onReply(budget_call_id id, const store::reply &result, time_point now)
 {
     const bool isAppend = m_appendCall == id;
@@ -191,7 +220,10 @@
     } else {
         // Whether an append without reply was executed can only be found out by reading.
         const auto *reason = std::get_if<store::failure>(&result);
-        m_readRequired = m_readRequired || (isAppend && (reason == nullptr || *reason == store::failure::NoReply));
+        if (isAppend && (reason == nullptr || *reason == store::failure::NoReply)) {
+            m_readRequired = true;
+            markAppendLost();
+        }
         m_appendingCount = 0;
         m_retryAt = now + retryDelay;
         m_failingSince = m_failures == 0 ? now : m_failingSince;
@@ -199,9 +231,7 @@
     }
     expire(now);
     startAppend(now);
-    if (!m_pendingRequests.empty() || (m_readRequired && !m_unwritten.empty())) {
-        startRead();
-    }
+    startRequiredRead();
 }
 
 void budget_partition::onAppended(const store::appended &result, time_point now)
@@ -215,6 +245,13 @@
     m_appendingCount = 0;
     std::ranges::for_each(written, [&](const unwritten_record &entry) { m_ledger.apply(entry.record, now); });
     std::ranges::for_each(written, [this](const unwritten_record &entry) { respondToWritten(entry); });
+    forgetResolvedAppends();
+}
+
+void budget_partition::markAppendLost()
+{
+    const auto inFlight = std::span(m_unwritten).first(m_appendingCount);
+    std::ranges::for_each(inFlight, [this](unwritten_record &entry) { entry.lostAppendAt = m_nextOffset; });
 }
 
 // Responds to a reservation that has been written, if its response is pending.
@@ -246,6 +283,7 @@
     m_readRequired = false;
     m_lastConfirmed = now;
     removeWritten();
+    forgetResolvedAppends();
     decidePending(now);
 }
 
@@ -263,6 +301,14 @@
     m_unwritten = std::move(remaining);
 }
 
+// A lost append can no longer be executed once the partition has grown past the end on which it was conditional.
+void budget_partition::forgetResolvedAppends()
+{
+    std::erase_if(m_abandoned, [this](const unwritten_record &entry) {
+        return isWritten(entry.record) || m_nextOffset > entry.lostAppendAt.value_or(0);
+    });
+}
+
 bool budget_partition::isWritten(const program_record &record) const
 {
     if (const auto *reserved = std::get_if<reservation>(&record)) {
@@ -281,8 +327,8 @@
 
 // ---- Time ----
 
-// Removes a reservation whose deadline has passed, unless its append may have been executed. It must not be settled
-// with 0 tokens here: another daemon may have granted the same request meanwhile, and the tokens used there must count.
+// Removes requests whose deadline has passed. Their reservations must not be settled with 0 tokens here: another daemon
+// may have granted the same request meanwhile, and the tokens used there must count.
 void budget_partition::expire(time_point now)
 {
     std::erase_if(m_pendingRequests, [&](const pending_request &entry) {
@@ -297,8 +343,10 @@
             return false;
         }
         respond(std::get<reservation>(entry.record), budget_decision::Unavailable);
-        entry.deadline.reset();
-        return !entry.maybeWritten;
+        if (entry.lostAppendAt.has_value()) {
+            m_abandoned.push_back(entry);
+        }
+        return true;
     });
 }
 
@@ -306,16 +354,11 @@
 {
     if (m_retryAt.has_value() && *m_retryAt <= now) {
         m_retryAt.reset();
-        if (m_readRequired && (!m_unwritten.empty() || !m_pendingRequests.empty())) {
-            startRead();
-        }
     }
     if (!m_appendCall.has_value()) {
         expire(now);
     }
-    if (!m_pendingRequests.empty()) {
-        startRead();
-    }
+    startRequiredRead();
     startAppend(now);
 }
 
--- a/src/programs/programs.h
+++ b/src/programs/programs.h
@@ -20,6 +20,7 @@
 #include <cstdint>
 #include <list>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -57,6 +58,9 @@
 
 using program_record = std::variant<reservation, settlement, turn>;
 
+// Empty for a turn, which takes nothing of a budget.
+[[nodiscard]] std::string_view programOf(const program_record &value);
+
 [[nodiscard]] std::string encodeRecord(const program_record &value);
 // Empty if the bytes are not a valid record.
 [[nodiscard]] std::optional<program_record> decodeRecord(std::string_view bytes);
@@ -88,6 +92,8 @@
     [[nodiscard]] std::uint32_t tokensOf(const std::string &program, const std::string &attempt) const;
     [[nodiscard]] bool isSettled(const std::string &program, const std::string &attempt) const;
     [[nodiscard]] budget_usage usageOf(const std::string &program) const;
+    // The usage of the program if `records`, all of this program, were applied next.
+    [[nodiscard]] budget_usage usageAfter(const std::string &program, std::span<const program_record> records) const;
     void evictIdle(time_point now);
     [[nodiscard]] std::size_t size() const;
 
@@ -107,7 +113,8 @@
     };
 
     [[nodiscard]] const attempt_state *find(const std::string &program, const std::string &attempt) const;
-    void reserve(program_state &program, const reservation &value);
+    static void applyTo(program_state &program, const program_record &value);
+    static void reserve(program_state &program, const reservation &value);
     static void settle(program_state &program, const settlement &value);
 
     std::unordered_map<std::string, program_state> m_programs;
@@ -140,9 +147,9 @@
 
 // Decides on reservations for the programs of one partition, and writes their records to it.
 //
-// A reservation is granted only after it is written, so that a crash loses no grant. Reservations that arrive during an
-// append are written together in the next one. Settlements wait up to `batchingDelay` for a reservation to be written
-// with.
+// A reservation is granted only after it is written, so that a crash loses no grant, and denied only because of written
+// records: one that could not be written takes nothing of the budget. Reservations that arrive during an append are
+// written together in the next one. Settlements wait up to `batchingDelay` for a reservation to be written with.
 class budget_partition
 {
 public:
@@ -178,7 +185,8 @@
         program_record record;
         time_point since;
         std::optional<time_point> deadline; // Set for a reservation whose response is pending.
-        bool maybeWritten = false; // An append with this record was started.
+        // Set if an append with this record got no reply: the end of the partition on which it was conditional.
+        std::optional<std::uint64_t> lostAppendAt;
     };
 
     struct pending_request
@@ -187,15 +195,20 @@
         time_point deadline;
     };
 
+    [[nodiscard]] budget_usage certainUsageOf(const std::string &program) const;
     void decide(const pending_request &entry, time_point now);
+    void withdraw(const settlement &use);
     void respond(const reservation &request, budget_decision decision);
     void respondToWritten(const unwritten_record &entry);
     void decidePending(time_point now);
     void startAppend(time_point now);
     void startRead();
+    void startRequiredRead();
     void onAppended(const store::appended &result, time_point now);
     void onRead(const store::records_read &result, time_point now);
     void removeWritten();
+    void markAppendLost();
+    void forgetResolvedAppends();
     void expire(time_point now);
     [[nodiscard]] bool isWritten(const program_record &record) const;
     [[nodiscard]] bool isGranted(const reservation &request) const;
@@ -211,6 +224,8 @@
     time_point m_failingSince{};
     std::vector<unwritten_record> m_unwritten; // In append order.
     std::size_t m_appendingCount = 0; // How many records, from the front of m_unwritten, are being appended.
+    // Reservations that are no longer wanted but may still be written by an append without reply.
+    std::vector<unwritten_record> m_abandoned;
     std::vector<pending_request> m_pendingRequests; // Requests that wait for the partition to be read.
     std::uint64_t m_lastCall = 0;
     std::optional<budget_call_id> m_appendCall;
