Write the history of a chain again when its oldest record is old

A turn is kept with its chain for the retention of its route. Now that a record holds only its own turn, deleting old records would break chains whose first turn is much older than their last one: the next turn would be refused.

A turn whose chain reaches back further than a sixth of the retention (10 s of 60 s), or whose chain was read from the store and has no known age, is written with its whole text and names no ancestors. A text over 160 KB is first written in several records, which then are the ancestors; if one of them cannot be written, the turn keeps its old ancestors. So every record can be deleted a sixth of the retention after its own retention. The retention is the longest one of the routes in force.

The divisor: a larger share keeps the store fuller (70 s of turns at a sixth, 80 s at a third of 60 s); a smaller one writes the texts of programs that last longer again more often. Programs of the deployment last a few seconds.

turns_test: without the check of the age, LongChainStaysReadableWhenItsFirstTurnsAreDeleted gets 503 for both sizes of turns and FailedCheckpointKeepsTheOldRecords sees no checkpoint. The chain of BytesWrittenGrowLinearlyWithTheChain now runs without pauses of a second between its turns, which would add checkpoints; its limits are unchanged.

--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -1,8 +1,8 @@
 #pragma once
 
 // The state and the event handlers of the gateway, grouped by file: requests.cc (arrival, refusal, completion),
-// budgets.cc (reservations), turns.cc (histories), dispatching.cc (endpoints), platform_state.cc (store, watches,
-// peers).
+// budgets.cc (reservations), turns.cc (histories), turn_writes.cc (their records), dispatching.cc (endpoints),
+// platform_state.cc (store, watches, peers).
 
 #include "admission/admission.h"
 #include "gateway/gateway.h"
@@ -36,16 +36,21 @@
     using request_context = internal::request_context;
     using request_phase = internal::request_phase;
 
+    // Until a configuration with a longer one is in force.
+    static constexpr std::chrono::milliseconds minTurnRetention{60000};
+
     // The purpose of an append to, or a catch-up of, a partition.
     enum class ticket_use : std::uint8_t {
         History,
         WriteTurn,
+        WriteSegment,
     };
 
     struct ticket_owner
     {
         caller_id caller{};
         ticket_use use{};
+        std::size_t segment = 0;
     };
 
     // Events.
@@ -132,6 +137,12 @@
     void useHistory(request_context &context, std::string history, programs::turn_chain chain, time_point now);
     void dispatchIfPrepared(request_context &context, time_point now);
     void startTurnWrite(request_context &context, time_point now);
+    [[nodiscard]] std::chrono::milliseconds checkpointAge() const;
+    [[nodiscard]] bool reachesBackTooFar(const request_context &context, time_point now) const;
+    void startSegmentWrites(request_context &context, time_point now);
+    void onSegmentWritten(request_context &context, std::size_t index, const store::ticket_result &result,
+                          time_point now);
+    void writeTurnRecord(request_context &context, time_point now);
     void onTurnWritten(request_context &context, const store::ticket_result &result, time_point now);
     [[nodiscard]] std::uint32_t tokensDelivered(const request_context &context) const;
     [[nodiscard]] store::partition programPartition(const std::string &program) const;
@@ -204,6 +215,8 @@
     std::map<std::string, std::pair<std::string, time_point>>
         m_turnHolders; // By turn: the daemon that has its text, and when that was reported.
     programs::turn_cache m_turns;
+    // The longest retention of any route of the configurations that were in force since the start.
+    std::chrono::milliseconds m_turnRetention{minTurnRetention};
     internal::store_access m_store;
     internal::peer_table m_peers;
     std::array<internal::keyed_watch, 3> m_watches; // Indexed by internal::watch_id.
--- a/src/gateway/internal/request_context.h
+++ b/src/gateway/internal/request_context.h
@@ -31,6 +31,14 @@
     unsigned failures = 0; // Failed reads of any of the records.
 };
 
+// A part of the history that is written again.
+struct segment_write
+{
+    std::string id;
+    std::size_t bytes = 0; // Of the record.
+    std::optional<programs::turn_location> location; // Unset until written.
+};
+
 struct request_context
 {
     caller_id id{};
@@ -72,6 +80,9 @@
     std::uint32_t eventCount = 0;
     std::optional<time_point> lastEventAt;
     std::string responseText; // Event data of a retained turn, or the body of a buffered response.
+    std::string turnText; // Input and output of the turn.
+    std::string previousRecord; // Id of the record before that of the turn.
+    std::vector<segment_write> segments; // Records of the history before the turn that are being written again.
     time_point turnWriteBegan{};
     time_point turnWriteDeadline{};
     std::string turnRecord; // The encoded record of the turn.
--- a/src/gateway/platform_state.cc
+++ b/src/gateway/platform_state.cc
@@ -243,6 +243,9 @@
     case ticket_use::WriteTurn:
         onTurnWritten(*context, output, now);
         return;
+    case ticket_use::WriteSegment:
+        onSegmentWritten(*context, node.mapped().segment, output, now);
+        return;
     }
 }
 
@@ -308,6 +311,11 @@
     }
     log(log_level::Info, "configuration_applied",
         {{"version", decoded->version}, {"before", current}, {"routes", decoded->routes.size()}});
+    for (const auto &route : decoded->routes) {
+        if (route.retainsTurns) {
+            m_turnRetention = std::max(m_turnRetention, route.retention);
+        }
+    }
     m_table = std::make_shared<const routing::route_table>(std::move(*decoded));
     m_heartbeatDue = true;
     applyConnectionLimits(now);
--- /dev/null
+++ b/src/gateway/turn_writes.cc
@@ -0,0 +1,191 @@
+// Writes each finished turn to the log before its response ends, and deletes old records of turns.
+
+#include "gateway/internal/implementation.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace jackdawpick::gateway
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+// How long the end of a response may wait for the write of its turn; callers abandon a stream after 2 s of silence.
+constexpr milliseconds turnWriteTimeout{1800};
+// After this time, or primaryWriteLatencyFactor times the smoothed store latency if that is longer, the turn is written
+// to its fallback partition.
+constexpr milliseconds primaryWriteTimeout{250};
+constexpr int primaryWriteLatencyFactor = 3;
+// Trimming fewer records does not justify a store call.
+constexpr std::uint64_t minTrimmedRecords = 3;
+// How long turns go to their fallback partitions after a write to their primary partition failed.
+constexpr milliseconds partitionBackoff{2000};
+// A turn does not depend on records older than this share of the retention: the smaller it is, the sooner old records
+// can be deleted, and the more often the histories of long programs are written again.
+constexpr int checkpointAgeDivisor = 6;
+// The largest text that is written again in one record; the store accepts records of 256 KB.
+constexpr std::size_t maxSegmentBytes = 160U << 10U;
+
+} // namespace
+
+// ---- Writing ----
+
+void gateway::implementation::startTurnWrite(request_context &context, time_point now)
+{
+    context.phase = request_phase::WritingTurn;
+    context.turnText = context.request.body + context.responseText;
+    context.previousRecord = context.request.previousTurn;
+    context.turnWriteBegan = now;
+    context.turnWriteDeadline = now + turnWriteTimeout;
+    if (!reachesBackTooFar(context, now)) {
+        writeTurnRecord(context, now);
+    } else if (context.history.size() + context.turnText.size() <= maxSegmentBytes) {
+        context.turnText.insert(0, context.history);
+        context.history.clear();
+        context.chain = {};
+        writeTurnRecord(context, now);
+    } else {
+        startSegmentWrites(context, now);
+    }
+    settleReservation(context, true, now);
+}
+
+// Whether the records of the chain must be replaced by new ones: records are deleted turnKeepTime() after they were
+// written, so a turn must not depend on older ones than checkpointAge(). The age of a chain that was read from the
+// store is not known.
+bool gateway::implementation::reachesBackTooFar(const request_context &context, time_point now) const
+{
+    const auto &chain = context.chain;
+    return !chain.records.empty() && (!chain.began.has_value() || now - *chain.began > checkpointAge());
+}
+
+// Writes the history before the turn again, in records that each fit the store. They form a chain like turns do. The
+// line feed in their ids keeps requests from naming them.
+void gateway::implementation::startSegmentWrites(request_context &context, time_point now)
+{
+    const auto &history = context.history;
+    const auto deadline = now + (context.turnWriteDeadline - now) / 2;
+    for (std::size_t begin = 0; begin < history.size(); begin += maxSegmentBytes) {
+        const programs::turn segment{.id = fmt::format("{}\n{}", context.request.attempt, context.segments.size()),
+                                     .previous = context.segments.empty() ? std::string() : context.segments.back().id,
+                                     .text = history.substr(begin, maxSegmentBytes),
+                                     .ancestors = {}};
+        auto record = programs::encodeRecord(segment);
+        const auto index = context.segments.size();
+        context.segments.push_back({.id = segment.id, .bytes = record.size(), .location = std::nullopt});
+        const auto ticket = m_log.append(turnPartition(segment.id, false), std::move(record), deadline);
+        m_tickets.emplace(ticket, ticket_owner{context.id, ticket_use::WriteSegment, index});
+    }
+}
+
+void gateway::implementation::onSegmentWritten(request_context &context, std::size_t index,
+                                               const store::ticket_result &result, time_point now)
+{
+    auto &segments = context.segments;
+    if (segments.empty()) {
+        return; // Another one could not be written.
+    }
+    if (!result.done) {
+        // The old records still exist; a later turn of the chain writes the segments.
+        segments.clear();
+        logRequest(log_level::Warning, "segment_not_written", context, {{"segment", index}}, now);
+        writeTurnRecord(context, now);
+        return;
+    }
+    auto &segment = segments.at(index);
+    segment.location = locationOf(turnPartition(segment.id, false), result.offset, segment.bytes);
+    if (!std::ranges::all_of(segments, [](const auto &entry) { return entry.location.has_value(); })) {
+        return;
+    }
+    context.chain = {.records = {}, .began = context.turnWriteBegan};
+    std::ranges::transform(segments, std::back_inserter(context.chain.records),
+                           [](const auto &entry) { return *entry.location; });
+    context.previousRecord = segments.back().id;
+    segments.clear();
+    writeTurnRecord(context, now);
+}
+
+void gateway::implementation::writeTurnRecord(request_context &context, time_point now)
+{
+    context.history += context.turnText;
+    context.turnRecord = programs::encodeRecord(programs::turn{.id = context.request.attempt,
+                                                               .previous = context.previousRecord,
+                                                               .text = std::move(context.turnText),
+                                                               .ancestors = context.chain.records,
+                                                               .historyHash = programs::hashHistory(context.history)});
+    const auto failing = m_partitionBackoffUntil.find(turnPartition(context.request.attempt, false));
+    context.useFallbackPartition = failing != m_partitionBackoffUntil.end() && failing->second > now;
+    appendTurn(context, now);
+}
+
+void gateway::implementation::appendTurn(request_context &context, time_point now)
+{
+    const auto primaryTimeout =
+        std::max<milliseconds>(primaryWriteTimeout, m_store.smoothedLatency() * primaryWriteLatencyFactor);
+    const auto deadline = context.useFallbackPartition ? context.turnWriteDeadline
+                                                       : std::min(context.turnWriteDeadline, now + primaryTimeout);
+    const auto ticket = m_log.append(turnPartition(context.request.attempt, context.useFallbackPartition),
+                                     context.turnRecord, deadline);
+    m_tickets.emplace(ticket, ticket_owner{context.id, ticket_use::WriteTurn});
+}
+
+void gateway::implementation::onTurnWritten(request_context &context, const store::ticket_result &result,
+                                            time_point now)
+{
+    const auto &turn = context.request.attempt;
+    const auto where = turnPartition(turn, context.useFallbackPartition);
+    if (!result.done && !context.useFallbackPartition) {
+        log(log_level::Warning, "partition_failing", {{"topic", where.topic}, {"part", where.number}});
+        m_partitionBackoffUntil[where] = now + partitionBackoff;
+        context.useFallbackPartition = true;
+        appendTurn(context, now);
+        return;
+    }
+    if (!result.done) {
+        m_effects.emplace_back(abort_response{context.id});
+        finishRequest(context, "turn_not_written", now);
+        return;
+    }
+    auto &chain = context.chain;
+    if (chain.records.empty()) {
+        chain.began = context.turnWriteBegan;
+    }
+    chain.records.push_back(locationOf(where, result.offset, context.turnRecord.size()));
+    m_turns.add(turn, std::move(context.history), std::move(chain), now);
+    trimPartition(where, result.offset, now);
+    m_effects.emplace_back(end_response{context.id});
+    finishRequest(context, internal::answeredOutcome, now);
+}
+
+std::uint32_t gateway::implementation::tokensDelivered(const request_context &context) const
+{
+    const auto *service = context.table->findService(context.service);
+    const bool known = service != nullptr && service->engine.has_value();
+    return context.eventCount * (known ? service->engine->tokensPerEvent : 1);
+}
+
+// ---- Deleting ----
+
+milliseconds gateway::implementation::checkpointAge() const
+{
+    return m_turnRetention / checkpointAgeDivisor;
+}
+
+// Deletes the records before the last marked append of this daemon once that append is older than turnLogRetention.
+// Without this the store would fill up within minutes of normal load.
+void gateway::implementation::trimPartition(const store::partition &where, std::uint64_t offset, time_point now)
+{
+    const auto [mark, isNew] = m_trimMarks.try_emplace(where, offset, now);
+    if (isNew || now - mark->second.second < m_options.turnLogRetention) {
+        return;
+    }
+    if (offset - mark->second.first >= minTrimmedRecords) {
+        startStoreCall(internal::no_owner{}, store::trim_call{where, mark->second.first}, now);
+    }
+    mark->second = {offset, now};
+}
+
+} // namespace jackdawpick::gateway
--- a/src/gateway/turns.cc
+++ b/src/gateway/turns.cc
@@ -1,5 +1,4 @@
-// Histories of agent programs: finds the text of the turns that a request continues, and writes each finished turn to
-// the log before the response ends.
+// Histories of agent programs: finds the text of the turns that a request continues.
 
 #include "gateway/internal/implementation.h"
 #include "gateway/internal/retry_delays.h"
@@ -22,16 +21,6 @@
 constexpr milliseconds historyTimeout{1200};
 // How long a peer may take to send a turn before the turn is read from the store instead.
 constexpr milliseconds peerTurnTimeout{60};
-// How long the end of a response may wait for the write of its turn; callers abandon a stream after 2 s of silence.
-constexpr milliseconds turnWriteTimeout{1800};
-// After this time, or primaryWriteLatencyFactor times the smoothed store latency if that is longer, the turn is written
-// to its fallback partition.
-constexpr milliseconds primaryWriteTimeout{250};
-constexpr int primaryWriteLatencyFactor = 3;
-// Trimming fewer records does not justify a store call.
-constexpr std::uint64_t minTrimmedRecords = 3;
-// How long turns go to their fallback partitions after a write to their primary partition failed.
-constexpr milliseconds partitionBackoff{2000};
 // Failed reads that are repeated for one request; a store that loses a third of its replies fails some of a chain.
 constexpr unsigned maxFailedTurnReads = 8;
 // A read of one record asks for its size, rounded up, and for the bytes around it.
@@ -223,83 +212,4 @@
     }
 }
 
-void gateway::implementation::startTurnWrite(request_context &context, time_point now)
-{
-    context.phase = request_phase::WritingTurn;
-    const auto text = context.request.body + context.responseText;
-    context.history += text;
-    programs::turn record{.id = context.request.attempt,
-                          .previous = context.request.previousTurn,
-                          .text = text,
-                          .ancestors = context.chain.records,
-                          .historyHash = programs::hashHistory(context.history)};
-    context.turnRecord = programs::encodeRecord(record);
-    context.turnWriteBegan = now;
-    context.turnWriteDeadline = now + turnWriteTimeout;
-    const auto failing = m_partitionBackoffUntil.find(turnPartition(context.request.attempt, false));
-    context.useFallbackPartition = failing != m_partitionBackoffUntil.end() && failing->second > now;
-    appendTurn(context, now);
-    settleReservation(context, true, now);
-}
-
-void gateway::implementation::appendTurn(request_context &context, time_point now)
-{
-    const auto primaryTimeout =
-        std::max<milliseconds>(primaryWriteTimeout, m_store.smoothedLatency() * primaryWriteLatencyFactor);
-    const auto deadline = context.useFallbackPartition ? context.turnWriteDeadline
-                                                       : std::min(context.turnWriteDeadline, now + primaryTimeout);
-    const auto ticket = m_log.append(turnPartition(context.request.attempt, context.useFallbackPartition),
-                                     context.turnRecord, deadline);
-    m_tickets.emplace(ticket, ticket_owner{context.id, ticket_use::WriteTurn});
-}
-
-void gateway::implementation::onTurnWritten(request_context &context, const store::ticket_result &result,
-                                            time_point now)
-{
-    const auto &turn = context.request.attempt;
-    const auto where = turnPartition(turn, context.useFallbackPartition);
-    if (!result.done && !context.useFallbackPartition) {
-        log(log_level::Warning, "partition_failing", {{"topic", where.topic}, {"part", where.number}});
-        m_partitionBackoffUntil[where] = now + partitionBackoff;
-        context.useFallbackPartition = true;
-        appendTurn(context, now);
-        return;
-    }
-    if (!result.done) {
-        m_effects.emplace_back(abort_response{context.id});
-        finishRequest(context, "turn_not_written", now);
-        return;
-    }
-    auto &chain = context.chain;
-    if (chain.records.empty()) {
-        chain.began = context.turnWriteBegan;
-    }
-    chain.records.push_back(locationOf(where, result.offset, context.turnRecord.size()));
-    m_turns.add(turn, std::move(context.history), std::move(chain), now);
-    trimPartition(where, result.offset, now);
-    m_effects.emplace_back(end_response{context.id});
-    finishRequest(context, internal::answeredOutcome, now);
-}
-
-// Deletes the records before the last marked append of this daemon once that append is older than turnLogRetention.
-// Without this the store would fill up within minutes of normal load.
-void gateway::implementation::trimPartition(const store::partition &where, std::uint64_t offset, time_point now)
-{
-    const auto [mark, isNew] = m_trimMarks.try_emplace(where, offset, now);
-    if (isNew || now - mark->second.second < m_options.turnLogRetention) {
-        return;
-    }
-    if (offset - mark->second.first >= minTrimmedRecords) {
-        startStoreCall(internal::no_owner{}, store::trim_call{where, mark->second.first}, now);
-    }
-    mark->second = {offset, now};
-}
-
-std::uint32_t gateway::implementation::tokensDelivered(const request_context &context) const
-{
-    const auto *service = context.table->findService(context.service);
-    const bool known = service != nullptr && service->engine.has_value();
-    return context.eventCount * (known ? service->engine->tokensPerEvent : 1);
-}
-
 } // namespace jackdawpick::gateway
--- a/src/gateway/turns_test.cc
+++ b/src/gateway/turns_test.cc
@@ -23,14 +23,18 @@
     return request;
 }
 
-// Runs a chain of turns "t0", "t1", ... and returns the history that a turn after them continues.
+// Runs a chain of turns "t0", "t1", ... without pauses and returns the history that a turn after them continues.
 std::string runChain(gateway_world &world, int turns, std::size_t inputBytes, int daemons)
 {
     std::string history;
     for (int i = 0; i < turns; ++i) {
         const auto attempt = fmt::format("t{}", i);
         const auto request = longTurn("p", attempt, i == 0 ? "" : fmt::format("t{}", i - 1), inputBytes);
-        EXPECT_TRUE(world.sendAndWait(i % daemons, request).complete) << attempt;
+        const auto &response = world.send(i % daemons, request);
+        for (int step = 0; step < 100 && !response.ended(); ++step) {
+            world.runFor(10ms);
+        }
+        EXPECT_TRUE(response.complete) << attempt;
         history += request.body + eventTextOf(attempt);
         EXPECT_EQ(world.runsOf(attempt), 1);
     }
@@ -142,4 +146,55 @@
     EXPECT_GE(served, rounds - 1);
 }
 
+// Guards against a chain whose first turns are deleted while a later one is retained: a turn is kept with its chain.
+TEST(Turns, LongChainStaysReadableWhenItsFirstTurnsAreDeleted)
+{
+    for (const std::size_t inputBytes : {500U, 30000U}) { // The second chain needs several records for its history.
+        constexpr int turns = 14;
+        gateway_world world({.daemons = 2, .eventInterval = 2ms, .parts = 1, .turnTopics = 1});
+        world.warmUp();
+        std::string history;
+        std::vector<std::size_t> ends; // Of the partition, after each turn.
+        for (int i = 0; i < turns; ++i) {
+            const auto request =
+                longTurn("p", fmt::format("t{}", i), i == 0 ? "" : fmt::format("t{}", i - 1), inputBytes);
+            ASSERT_TRUE(world.sendAndWait(i % 2, request).complete) << i;
+            history += request.body + eventTextOf(request.attempt);
+            ends.push_back(world.recordCount("turns"));
+            world.runFor(4s);
+        }
+        // What was written more than a sixth of the retention before the last turn.
+        world.deleteRecordsBefore({"turns-0", 0}, ends.at(turns - 4));
+        restartAll(world, 2);
+        const auto next = longTurn("q", "next", fmt::format("t{}", turns - 1), inputBytes);
+        EXPECT_EQ(world.sendAndWait(0, next).status, 200);
+        EXPECT_EQ(world.runs.back().body, history + next.body);
+        EXPECT_LT(world.appendedBytes, 6 * history.size());
+    }
+}
+
+// Guards against a turn that is lost because the history before it could not be written again.
+TEST(Turns, FailedCheckpointKeepsTheOldRecords)
+{
+    gateway_world world({.daemons = 1, .eventInterval = 2ms});
+    world.warmUp();
+    const auto history = runChain(world, 8, 30000, 1);
+    world.runFor(20s);
+    for (int i = 0; i < 80; ++i) {
+        world.unavailableTopics.insert(fmt::format("turns-{}", i));
+    }
+    const auto request = longTurn("p", "t8", "t7", 30000);
+    const auto &response = world.send(0, request);
+    world.runFor(1100ms);
+    EXPECT_FALSE(response.ended());
+    world.unavailableTopics.clear();
+    world.runFor(2s);
+    EXPECT_TRUE(response.complete);
+    EXPECT_EQ(world.logLinesOf("segment_not_written"), 1);
+    restartAll(world, 1);
+    const auto next = longTurn("q", "next", "t8", 1000);
+    EXPECT_EQ(world.sendAndWait(0, next).status, 200);
+    EXPECT_EQ(world.runs.back().body, history + request.body + eventTextOf("t8") + next.body);
+}
+
 } // namespace jackdawpick::gateway::testing
