Restore a settlement that a crash has lost from the turn itself

Cause: a settlement waits up to 0.5 s in memory for an append. If its daemons die meanwhile, the reservation of an answered turn counts with all its tokens for good.

Fix: the record of a turn, which is durable before its answer ends, says how many tokens it has used. A decider that has no settlement of the turn that a request continues says so in its reply; the daemon of the request, which reads the turn anyway, then reports what it used, and asks once more if it had been denied. Such a settlement is appended at once. A turn without a record (a broken answer) still counts with its whole reservation, and a turn of another program is not charged.

Ruled out: settlements appended at once in all cases (one more store call a turn on quiet sites); a look-up of all open reservations at a denial (several reads, and turns without records stay open anyway).

--- a/src/gateway/budgets.cc
+++ b/src/gateway/budgets.cc
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <type_traits>
+#include <utility>
 #include <xxhash.h>
 
 namespace jackdawpick::gateway
@@ -146,38 +147,35 @@
              {"spent", response.usage.spent},
              {"reserved", response.usage.reserved}});
     }
+    auto &budgets = budgetsOf(programPartition(response.request.program));
     for (const auto &[attempt, requester] : requesters) {
+        auto *context = requester.caller.has_value() ? findRequest(*requester.caller) : nullptr;
+        const auto &previous = context == nullptr ? requester.previousTurn : context->request.previousTurn;
+        const peers::budget_reply reply{.id = requester.request,
+                                        .answer = response.decision,
+                                        .turnHolder = turnHolder(previous),
+                                        .firstTurn = isFirstTurn(response),
+                                        .previousUnsettled = budgets.isUnsettled(response.request.program, previous)};
         if (!requester.caller.has_value()) {
-            m_effects.emplace_back(
-                send_message{requester.link,
-                             peers::budget_reply{requester.request, response.decision,
-                                                 turnHolder(requester.previousTurn), isFirstTurn(response)}});
-        } else if (auto *context = findRequest(*requester.caller); context != nullptr) {
-            context->firstTurn = isFirstTurn(response);
-            onReservationDecided(*context, response.decision, m_options.self.name,
-                                 turnHolder(context->request.previousTurn), now);
+            m_effects.emplace_back(send_message{requester.link, reply});
+        } else if (context != nullptr) {
+            onReservationDecided(*context, reply, m_options.self.name, now);
         } else if (response.decision == programs::budget_decision::Granted) {
             // The caller has disconnected; the reservation is settled with no use.
-            budgetsOf(programPartition(response.request.program))
-                .settle({.program = response.request.program, .attempt = attempt, .tokens = 0}, now);
+            budgets.settle({.program = response.request.program, .attempt = attempt, .tokens = 0}, now);
         }
     }
 }
 
-void gateway::implementation::onReservationDecided(request_context &context, programs::budget_decision decision,
-                                                   const std::string &decider, const std::string &holder,
-                                                   time_point now)
+void gateway::implementation::onReservationDecided(request_context &context, const peers::budget_reply &reply,
+                                                   const std::string &decider, time_point now)
 {
     context.reservationPending = false;
-    switch (decision) {
+    context.firstTurn = reply.firstTurn;
+    context.unsettledAt = reply.previousUnsettled ? std::optional(decider) : std::nullopt;
+    switch (reply.answer) {
     case programs::budget_decision::Denied:
-        logRequest(log_level::Info, "budget_exceeded", context,
-                   {{"budget", *context.request.tokenBudget},
-                    {"asked", context.request.maxOutputTokens},
-                    {"decider", decider}},
-                   now);
-        context.lastDecider.reset(); // There is nothing to settle after a denial.
-        refuseRequest(context, result_code::BudgetExceeded, std::nullopt, now);
+        onReservationDenied(context, reply, decider, now);
         return;
     case programs::budget_decision::Unavailable:
         refuseRequest(context, result_code::BudgetUnavailable, storeRetryDelay, now);
@@ -187,12 +185,49 @@
     }
     context.grantedBy = decider;
     if (context.historyPending) {
-        resolveHistory(context, holder, now);
+        resolveHistory(context, reply.turnHolder, now);
     } else {
         dispatchIfPrepared(context, now);
     }
 }
 
+// If the settlement of the previous turn was lost, its whole reservation counts. The turn itself says what it used, so
+// it is read and settled, and the reservation is requested once more.
+void gateway::implementation::onReservationDenied(request_context &context, const peers::budget_reply &reply,
+                                                  const std::string &decider, time_point now)
+{
+    context.lastDecider.reset(); // There is nothing to settle after a denial.
+    if (context.unsettledAt.has_value() && context.historyPending && !context.deniedUnsettled) {
+        context.deniedUnsettled = true;
+        resolveHistory(context, reply.turnHolder, now);
+        return;
+    }
+    logRequest(
+        log_level::Info, "budget_exceeded", context,
+        {{"budget", *context.request.tokenBudget}, {"asked", context.request.maxOutputTokens}, {"decider", decider}},
+        now);
+    refuseRequest(context, result_code::BudgetExceeded, std::nullopt, now);
+}
+
+// Called once the history of the request is known.
+void gateway::implementation::settlePreviousTurn(request_context &context, time_point now)
+{
+    const auto decider = std::exchange(context.unsettledAt, std::nullopt);
+    if (!decider.has_value()) {
+        return;
+    }
+    if (context.chain.tokens != 0) {
+        logRequest(log_level::Info, "settlement_restored", context,
+                   {{"turn", context.request.previousTurn}, {"tokens", context.chain.tokens}, {"decider", *decider}},
+                   now);
+        sendUsage({.program = context.request.program,
+                   .attempt = context.request.previousTurn,
+                   .tokens = context.chain.tokens,
+                   .restored = true},
+                  *decider, now);
+    }
+}
+
 // ---- Messages ----
 
 void gateway::implementation::onBudgetMessage(const link_message &received, time_point now)
@@ -226,8 +261,7 @@
     const auto node = m_pendingReservations.extract(message.id);
     auto *context = node ? findRequest(node.mapped().caller) : nullptr;
     if (context != nullptr && context->reservationPending) {
-        context->firstTurn = message.firstTurn;
-        onReservationDecided(*context, message.answer, m_peers.nameOf(link), message.turnHolder, now);
+        onReservationDecided(*context, message, m_peers.nameOf(link), now);
     }
 }
 
@@ -244,6 +278,7 @@
         reply.found = true;
         reply.history = *text;
         reply.records = chain.records;
+        reply.tokens = chain.tokens;
         if (chain.began.has_value()) {
             reply.beganAgo = millisecondsBetween(*chain.began, now);
         }
@@ -262,7 +297,7 @@
         readHistoryFromStore(*context, now);
         return;
     }
-    programs::turn_chain chain{.records = message.records, .began = std::nullopt};
+    programs::turn_chain chain{.records = message.records, .began = std::nullopt, .tokens = message.tokens};
     if (message.beganAgo.has_value()) {
         // The reply was sent after the request, so this is not later than the true time.
         chain.began = node.mapped().sent - *message.beganAgo;
@@ -287,7 +322,12 @@
                                 .attempt = context.request.attempt,
                                 .tokens = tokensDelivered(context),
                                 .holdsTurn = holdsTurn};
-    const auto link = *decider == m_options.self.name ? std::nullopt : m_peers.linkTo(*decider);
+    sendUsage(use, *decider, now);
+}
+
+void gateway::implementation::sendUsage(const peers::budget_use &use, const std::string &decider, time_point now)
+{
+    const auto link = decider == m_options.self.name ? std::nullopt : m_peers.linkTo(decider);
     if (link.has_value()) {
         m_effects.emplace_back(send_message{*link, use});
     } else {
@@ -300,8 +340,10 @@
     if (use.holdsTurn) {
         m_turnHolders[use.attempt] = {holder, now};
     }
+    // A restored settlement has been lost once, possibly by a crash that may recur: it does not wait.
+    const auto delay = use.restored ? milliseconds(0) : programs::budget_partition::batchingDelay;
     budgetsOf(programPartition(use.program))
-        .settle({.program = use.program, .attempt = use.attempt, .tokens = use.tokens}, now);
+        .settle({.program = use.program, .attempt = use.attempt, .tokens = use.tokens}, now, delay);
 }
 
 std::string gateway::implementation::turnHolder(const std::string &turn) const
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -106,8 +106,12 @@
                         time_point deadline, time_point now);
     bool processBudgetOutputs(time_point now);
     void onBudgetDecision(const programs::budget_response &response, time_point now);
-    void onReservationDecided(request_context &context, programs::budget_decision decision, const std::string &decider,
-                              const std::string &turnHolder, time_point now);
+    void onReservationDecided(request_context &context, const peers::budget_reply &reply, const std::string &decider,
+                              time_point now);
+    void onReservationDenied(request_context &context, const peers::budget_reply &reply, const std::string &decider,
+                             time_point now);
+    void settlePreviousTurn(request_context &context, time_point now);
+    void sendUsage(const peers::budget_use &use, const std::string &decider, time_point now);
     void onBudgetMessage(const link_message &received, time_point now);
     void on(link_id link, const peers::budget_request &message, time_point now);
     void on(link_id link, const peers::budget_reply &message, time_point now);
--- a/src/gateway/internal/request_context.h
+++ b/src/gateway/internal/request_context.h
@@ -57,6 +57,8 @@
     std::optional<std::string> lastDecider; // The daemon asked last; reset when the reservation is settled.
     std::optional<std::string> grantedBy; // The daemon that granted it; reset when the reservation is settled.
     bool firstTurn = false; // The first turn of its program, judged by the use of the budget.
+    std::optional<std::string> unsettledAt; // The daemon that does not know how many tokens the previous turn has used.
+    bool deniedUnsettled = false; // Denied while that was not known; the reservation is requested once more.
     bool historyPending = false;
     bool historyReadIncomplete = false; // A partition that may hold the previous turn could not be read to its end.
     bool useFallbackPartition = false; // Reading from or writing to the primary partition did not succeed.
--- a/src/gateway/turn_writes.cc
+++ b/src/gateway/turn_writes.cc
@@ -115,7 +115,8 @@
                                                                .previous = context.previousRecord,
                                                                .text = std::move(context.turnText),
                                                                .ancestors = context.chain.records,
-                                                               .historyHash = programs::hashHistory(context.history)});
+                                                               .historyHash = programs::hashHistory(context.history),
+                                                               .tokens = tokensDelivered(context)});
     const auto failing = m_partitionBackoffUntil.find(turnPartition(context.request.attempt, false));
     context.useFallbackPartition = failing != m_partitionBackoffUntil.end() && failing->second > now;
     appendTurn(context, now);
@@ -154,6 +155,7 @@
         chain.began = context.turnWriteBegan;
     }
     chain.records.push_back(locationOf(where, result.offset, context.turnRecord.size()));
+    chain.tokens = tokensDelivered(context);
     m_turns.add(turn, std::move(context.history), std::move(chain), now);
     trimPartition(where, result.offset, now);
     m_effects.emplace_back(end_response{context.id});
--- a/src/gateway/turns.cc
+++ b/src/gateway/turns.cc
@@ -85,7 +85,13 @@
     context.history = std::move(history);
     context.chain = std::move(chain);
     context.historyPending = false;
-    dispatchIfPrepared(context, now);
+    settlePreviousTurn(context, now);
+    if (context.deniedUnsettled && !context.grantedBy.has_value()) {
+        context.decidersAsked = 0;
+        requestReservation(context, now);
+    } else {
+        dispatchIfPrepared(context, now);
+    }
 }
 
 void gateway::implementation::readHistoryFromStore(request_context &context, time_point now)
@@ -127,7 +133,7 @@
 void gateway::implementation::onTurnDelivered(programs::turn turn, const programs::turn_location &location,
                                               time_point now)
 {
-    programs::turn_chain chain{.records = turn.ancestors, .began = std::nullopt};
+    programs::turn_chain chain{.records = turn.ancestors, .began = std::nullopt, .tokens = turn.tokens};
     chain.records.push_back(location);
     if (m_turns.chainOf(turn.id) != nullptr) {
         return;
@@ -198,7 +204,8 @@
         refuseRequest(context, result_code::HistoryUnavailable, storeRetryDelay, now);
         return;
     }
-    programs::turn_chain chain{.records = std::move(read->places), .began = std::nullopt};
+    programs::turn_chain chain{
+        .records = std::move(read->places), .began = std::nullopt, .tokens = records.back().tokens};
     read.reset();
     useHistory(context, std::move(*history), std::move(chain), now);
 }
--- a/src/peers/internal/peer_messages_generated.h
+++ b/src/peers/internal/peer_messages_generated.h
@@ -1105,7 +1105,8 @@
     VT_ID = 4,
     VT_ANSWER = 6,
     VT_TURN_HOLDER = 8,
-    VT_FIRST_TURN = 10
+    VT_FIRST_TURN = 10,
+    VT_PREVIOUS_UNSETTLED = 12
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -1119,6 +1120,9 @@
   bool first_turn() const {
     return GetField<uint8_t>(VT_FIRST_TURN, 0) != 0;
   }
+  bool previous_unsettled() const {
+    return GetField<uint8_t>(VT_PREVIOUS_UNSETTLED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -1126,6 +1130,7 @@
            VerifyOffsetRequired(verifier, VT_TURN_HOLDER) &&
            verifier.VerifyString(turn_holder()) &&
            VerifyField<uint8_t>(verifier, VT_FIRST_TURN, 1) &&
+           VerifyField<uint8_t>(verifier, VT_PREVIOUS_UNSETTLED, 1) &&
            verifier.EndTable();
   }
 };
@@ -1146,6 +1151,9 @@
   void add_first_turn(bool first_turn) {
     fbb_.AddElement<uint8_t>(BudgetReply::VT_FIRST_TURN, static_cast<uint8_t>(first_turn), 0);
   }
+  void add_previous_unsettled(bool previous_unsettled) {
+    fbb_.AddElement<uint8_t>(BudgetReply::VT_PREVIOUS_UNSETTLED, static_cast<uint8_t>(previous_unsettled), 0);
+  }
   explicit BudgetReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1163,10 +1171,12 @@
     uint64_t id = 0,
     uint8_t answer = 0,
     flatbuffers::Offset<flatbuffers::String> turn_holder = 0,
-    bool first_turn = false) {
+    bool first_turn = false,
+    bool previous_unsettled = false) {
   BudgetReplyBuilder builder_(_fbb);
   builder_.add_id(id);
   builder_.add_turn_holder(turn_holder);
+  builder_.add_previous_unsettled(previous_unsettled);
   builder_.add_first_turn(first_turn);
   builder_.add_answer(answer);
   return builder_.Finish();
@@ -1177,14 +1187,16 @@
     uint64_t id = 0,
     uint8_t answer = 0,
     const char *turn_holder = nullptr,
-    bool first_turn = false) {
+    bool first_turn = false,
+    bool previous_unsettled = false) {
   auto turn_holder__ = turn_holder ? _fbb.CreateString(turn_holder) : 0;
   return jackdawpick::peers::fbs::CreateBudgetReply(
       _fbb,
       id,
       answer,
       turn_holder__,
-      first_turn);
+      first_turn,
+      previous_unsettled);
 }
 
 struct BudgetUse FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1193,7 +1205,8 @@
     VT_PROGRAM = 4,
     VT_ATTEMPT = 6,
     VT_TOKENS = 8,
-    VT_HOLDS_TURN = 10
+    VT_HOLDS_TURN = 10,
+    VT_RESTORED = 12
   };
   const flatbuffers::String *program() const {
     return GetPointer<const flatbuffers::String *>(VT_PROGRAM);
@@ -1207,6 +1220,9 @@
   bool holds_turn() const {
     return GetField<uint8_t>(VT_HOLDS_TURN, 0) != 0;
   }
+  bool restored() const {
+    return GetField<uint8_t>(VT_RESTORED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_PROGRAM) &&
@@ -1215,6 +1231,7 @@
            verifier.VerifyString(attempt()) &&
            VerifyField<uint32_t>(verifier, VT_TOKENS, 4) &&
            VerifyField<uint8_t>(verifier, VT_HOLDS_TURN, 1) &&
+           VerifyField<uint8_t>(verifier, VT_RESTORED, 1) &&
            verifier.EndTable();
   }
 };
@@ -1235,6 +1252,9 @@
   void add_holds_turn(bool holds_turn) {
     fbb_.AddElement<uint8_t>(BudgetUse::VT_HOLDS_TURN, static_cast<uint8_t>(holds_turn), 0);
   }
+  void add_restored(bool restored) {
+    fbb_.AddElement<uint8_t>(BudgetUse::VT_RESTORED, static_cast<uint8_t>(restored), 0);
+  }
   explicit BudgetUseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1253,11 +1273,13 @@
     flatbuffers::Offset<flatbuffers::String> program = 0,
     flatbuffers::Offset<flatbuffers::String> attempt = 0,
     uint32_t tokens = 0,
-    bool holds_turn = false) {
+    bool holds_turn = false,
+    bool restored = false) {
   BudgetUseBuilder builder_(_fbb);
   builder_.add_tokens(tokens);
   builder_.add_attempt(attempt);
   builder_.add_program(program);
+  builder_.add_restored(restored);
   builder_.add_holds_turn(holds_turn);
   return builder_.Finish();
 }
@@ -1267,7 +1289,8 @@
     const char *program = nullptr,
     const char *attempt = nullptr,
     uint32_t tokens = 0,
-    bool holds_turn = false) {
+    bool holds_turn = false,
+    bool restored = false) {
   auto program__ = program ? _fbb.CreateString(program) : 0;
   auto attempt__ = attempt ? _fbb.CreateString(attempt) : 0;
   return jackdawpick::peers::fbs::CreateBudgetUse(
@@ -1275,7 +1298,8 @@
       program__,
       attempt__,
       tokens,
-      holds_turn);
+      holds_turn,
+      restored);
 }
 
 struct TurnRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1350,7 +1374,8 @@
     VT_HISTORY = 8,
     VT_RECORDS = 10,
     VT_BEGAN_KNOWN = 12,
-    VT_BEGAN_MS_AGO = 14
+    VT_BEGAN_MS_AGO = 14,
+    VT_TOKENS = 16
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -1370,6 +1395,9 @@
   uint32_t began_ms_ago() const {
     return GetField<uint32_t>(VT_BEGAN_MS_AGO, 0);
   }
+  uint32_t tokens() const {
+    return GetField<uint32_t>(VT_TOKENS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -1380,6 +1408,7 @@
            verifier.VerifyVector(records()) &&
            VerifyField<uint8_t>(verifier, VT_BEGAN_KNOWN, 1) &&
            VerifyField<uint32_t>(verifier, VT_BEGAN_MS_AGO, 4) &&
+           VerifyField<uint32_t>(verifier, VT_TOKENS, 4) &&
            verifier.EndTable();
   }
 };
@@ -1406,6 +1435,9 @@
   void add_began_ms_ago(uint32_t began_ms_ago) {
     fbb_.AddElement<uint32_t>(TurnReply::VT_BEGAN_MS_AGO, began_ms_ago, 0);
   }
+  void add_tokens(uint32_t tokens) {
+    fbb_.AddElement<uint32_t>(TurnReply::VT_TOKENS, tokens, 0);
+  }
   explicit TurnReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1425,9 +1457,11 @@
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> history = 0,
     flatbuffers::Offset<flatbuffers::Vector<const jackdawpick::peers::fbs::TurnLocation *>> records = 0,
     bool began_known = false,
-    uint32_t began_ms_ago = 0) {
+    uint32_t began_ms_ago = 0,
+    uint32_t tokens = 0) {
   TurnReplyBuilder builder_(_fbb);
   builder_.add_id(id);
+  builder_.add_tokens(tokens);
   builder_.add_began_ms_ago(began_ms_ago);
   builder_.add_records(records);
   builder_.add_history(history);
@@ -1443,7 +1477,8 @@
     const std::vector<uint8_t> *history = nullptr,
     const std::vector<jackdawpick::peers::fbs::TurnLocation> *records = nullptr,
     bool began_known = false,
-    uint32_t began_ms_ago = 0) {
+    uint32_t began_ms_ago = 0,
+    uint32_t tokens = 0) {
   auto history__ = history ? _fbb.CreateVector<uint8_t>(*history) : 0;
   auto records__ = records ? _fbb.CreateVectorOfStructs<jackdawpick::peers::fbs::TurnLocation>(*records) : 0;
   return jackdawpick::peers::fbs::CreateTurnReply(
@@ -1453,7 +1488,8 @@
       history__,
       records__,
       began_known,
-      began_ms_ago);
+      began_ms_ago,
+      tokens);
 }
 
 struct RunReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/peers/peers.cc
+++ b/src/peers/peers.cc
@@ -171,14 +171,14 @@
 {
     const auto holder = out.CreateString(value.turnHolder);
     const auto answer = static_cast<std::uint8_t>(value.answer);
-    return fbs::CreateBudgetReply(out, value.id, answer, holder, value.firstTurn).Union();
+    return fbs::CreateBudgetReply(out, value.id, answer, holder, value.firstTurn, value.previousUnsettled).Union();
 }
 
 body_offset encode(buffer_builder &out, const budget_use &value)
 {
     const auto program = out.CreateString(value.program);
     const auto attempt = out.CreateString(value.attempt);
-    return fbs::CreateBudgetUse(out, program, attempt, value.tokens, value.holdsTurn).Union();
+    return fbs::CreateBudgetUse(out, program, attempt, value.tokens, value.holdsTurn, value.restored).Union();
 }
 
 body_offset encode(buffer_builder &out, const turn_request &value)
@@ -204,7 +204,7 @@
     });
     const auto ago = value.beganAgo.value_or(std::chrono::milliseconds(0)).count();
     return fbs::CreateTurnReply(out, value.id, value.found, history, out.CreateVectorOfStructs(locations),
-                                value.beganAgo.has_value(), static_cast<std::uint32_t>(ago))
+                                value.beganAgo.has_value(), static_cast<std::uint32_t>(ago), value.tokens)
         .Union();
 }
 
@@ -321,12 +321,13 @@
         return std::nullopt;
     }
     return budget_reply{body.id(), static_cast<programs::budget_decision>(body.answer()), decode(body.turn_holder()),
-                        body.first_turn()};
+                        body.first_turn(), body.previous_unsettled()};
 }
 
 turn_reply decode(const fbs::TurnReply &body)
 {
-    turn_reply value{.id = body.id(), .found = body.found(), .history = decode(body.history())};
+    turn_reply value{
+        .id = body.id(), .found = body.found(), .history = decode(body.history()), .tokens = body.tokens()};
     if (body.records() != nullptr) {
         std::ranges::transform(*body.records(), std::back_inserter(value.records), [](const fbs::TurnLocation *place) {
             return programs::turn_location{
@@ -349,7 +350,8 @@
         return decode(*body);
     }
     if (const auto *body = root.body_as_BudgetUse()) {
-        return budget_use{decode(body->program()), decode(body->attempt()), body->tokens(), body->holds_turn()};
+        return budget_use{decode(body->program()), decode(body->attempt()), body->tokens(), body->holds_turn(),
+                          body->restored()};
     }
     if (const auto *body = root.body_as_TurnRequest()) {
         return turn_request{body->id(), decode(body->turn())};
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -76,6 +76,7 @@
     programs::budget_decision answer = programs::budget_decision::Unavailable;
     std::string turnHolder; // Name of the daemon that has the text of the previous turn; empty if unknown.
     bool firstTurn = false; // No other request has used or reserved tokens of the budget.
+    bool previousUnsettled = false; // It is not known how many tokens the previous turn has used.
     bool operator==(const budget_reply &) const = default;
 };
 
@@ -86,6 +87,7 @@
     std::string attempt;
     std::uint32_t tokens = 0;
     bool holdsTurn = false; // The sender has the text of the turn.
+    bool restored = false; // Taken from the turn, since the first report was lost.
     bool operator==(const budget_use &) const = default;
 };
 
@@ -104,6 +106,7 @@
     std::vector<programs::turn_location> records; // Of the records that hold the history, oldest first.
     // How long ago the oldest of these records was written; unset if unknown.
     std::optional<std::chrono::milliseconds> beganAgo;
+    std::uint32_t tokens = 0; // That the turn has used of the budget of its program; 0 if unknown.
     bool operator==(const turn_reply &) const = default;
 };
 
--- a/src/peers/peers_test.cc
+++ b/src/peers/peers_test.cc
@@ -30,11 +30,12 @@
             store_response{4, store::newest_page{{{1, "k", "v"}}, true, 8}},
             store_response{5, store::failure::Refused},
             budget_request{6, "p", "a", 567, 4536, "t"},
-            budget_reply{6, programs::budget_decision::Denied, "n", true},
+            budget_reply{6, programs::budget_decision::Denied, "n", true, true},
             budget_use{"p", "a", 243, true},
+            budget_use{"p", "a", 243, false, true},
             turn_request{7, "t"},
             turn_reply{7, true, binary},
-            turn_reply{7, true, binary, {{79, 11, 17000, 1U << 20U}, {1, 2, 3, 4}}, 1500ms},
+            turn_reply{7, true, binary, {{79, 11, 17000, 1U << 20U}, {1, 2, 3, 4}}, 1500ms, 252},
             run_reports{{{8, "e1"}, {9, ""}}}};
 }
 
--- a/src/programs/budget_partition.cc
+++ b/src/programs/budget_partition.cc
@@ -44,7 +44,7 @@
 void budget_partition::decide(const pending_request &entry, time_point now)
 {
     const auto &request = entry.request;
-    if (isGranted(request)) {
+    if (isUnsettled(request.program, request.attempt)) {
         respond(request, budget_decision::Granted);
         return;
     }
@@ -58,7 +58,7 @@
         }
         return;
     }
-    m_unwritten.push_back({.record = request, .since = now, .deadline = entry.deadline});
+    m_unwritten.push_back({.record = request, .due = now, .deadline = entry.deadline});
     startAppend(now);
 }
 
@@ -68,10 +68,10 @@
         budget_response{.request = request, .decision = decision, .usage = usageOf(request.program)});
 }
 
-void budget_partition::settle(const settlement &use, time_point now)
+void budget_partition::settle(const settlement &use, time_point now, std::chrono::milliseconds delay)
 {
     withdraw(use);
-    m_unwritten.push_back({.record = use, .since = now, .deadline = std::nullopt});
+    m_unwritten.push_back({.record = use, .due = now + delay, .deadline = std::nullopt});
     startAppend(now);
     startRequiredRead();
 }
@@ -102,10 +102,14 @@
     m_unwritten.erase(removed, m_unwritten.end());
 }
 
-bool budget_partition::isGranted(const reservation &request) const
+bool budget_partition::isUnsettled(const std::string &program, const std::string &attempt) const
 {
-    return m_ledger.stateOf(request.program, request.attempt) == reservation_state::Granted
-        && !m_ledger.isSettled(request.program, request.attempt);
+    const auto isSettlement = [&](const unwritten_record &entry) {
+        const auto *settled = std::get_if<settlement>(&entry.record);
+        return settled != nullptr && settled->program == program && settled->attempt == attempt;
+    };
+    return m_ledger.stateOf(program, attempt) == reservation_state::Granted && !m_ledger.isSettled(program, attempt)
+        && std::ranges::none_of(m_unwritten, isSettlement);
 }
 
 bool budget_partition::isViewFresh(time_point now) const
@@ -159,9 +163,7 @@
     if (m_readRequired || m_appendCall.has_value() || m_readCall.has_value() || m_unwritten.empty()) {
         return std::nullopt;
     }
-    const bool hasWaitingRequest =
-        std::ranges::any_of(m_unwritten, [](const auto &entry) { return entry.deadline.has_value(); });
-    const auto due = hasWaitingRequest ? m_unwritten.front().since : m_unwritten.front().since + batchingDelay;
+    const auto due = std::ranges::min(m_unwritten, std::less<>(), &unwritten_record::due).due;
     return std::max(due, m_retryAt.value_or(due));
 }
 
--- a/src/programs/internal/program_records_generated.h
+++ b/src/programs/internal/program_records_generated.h
@@ -298,7 +298,8 @@
     VT_TEXT = 6,
     VT_PREVIOUS = 8,
     VT_ANCESTORS = 10,
-    VT_HISTORY_HASH = 12
+    VT_HISTORY_HASH = 12,
+    VT_TOKENS = 14
   };
   const flatbuffers::String *turn() const {
     return GetPointer<const flatbuffers::String *>(VT_TURN);
@@ -315,6 +316,9 @@
   uint64_t history_hash() const {
     return GetField<uint64_t>(VT_HISTORY_HASH, 0);
   }
+  uint32_t tokens() const {
+    return GetField<uint32_t>(VT_TOKENS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_TURN) &&
@@ -326,6 +330,7 @@
            VerifyOffset(verifier, VT_ANCESTORS) &&
            verifier.VerifyVector(ancestors()) &&
            VerifyField<uint64_t>(verifier, VT_HISTORY_HASH, 8) &&
+           VerifyField<uint32_t>(verifier, VT_TOKENS, 4) &&
            verifier.EndTable();
   }
 };
@@ -349,6 +354,9 @@
   void add_history_hash(uint64_t history_hash) {
     fbb_.AddElement<uint64_t>(Turn::VT_HISTORY_HASH, history_hash, 0);
   }
+  void add_tokens(uint32_t tokens) {
+    fbb_.AddElement<uint32_t>(Turn::VT_TOKENS, tokens, 0);
+  }
   explicit TurnBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -368,9 +376,11 @@
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> text = 0,
     flatbuffers::Offset<flatbuffers::String> previous = 0,
     flatbuffers::Offset<flatbuffers::Vector<const jackdawpick::programs::fbs::TurnLocation *>> ancestors = 0,
-    uint64_t history_hash = 0) {
+    uint64_t history_hash = 0,
+    uint32_t tokens = 0) {
   TurnBuilder builder_(_fbb);
   builder_.add_history_hash(history_hash);
+  builder_.add_tokens(tokens);
   builder_.add_ancestors(ancestors);
   builder_.add_previous(previous);
   builder_.add_text(text);
@@ -384,7 +394,8 @@
     const std::vector<uint8_t> *text = nullptr,
     const char *previous = nullptr,
     const std::vector<jackdawpick::programs::fbs::TurnLocation> *ancestors = nullptr,
-    uint64_t history_hash = 0) {
+    uint64_t history_hash = 0,
+    uint32_t tokens = 0) {
   auto turn__ = turn ? _fbb.CreateString(turn) : 0;
   auto text__ = text ? _fbb.CreateVector<uint8_t>(*text) : 0;
   auto previous__ = previous ? _fbb.CreateString(previous) : 0;
@@ -395,7 +406,8 @@
       text__,
       previous__,
       ancestors__,
-      history_hash);
+      history_hash,
+      tokens);
 }
 
 struct ProgramRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/programs/program_records.cc
+++ b/src/programs/program_records.cc
@@ -36,7 +36,7 @@
         return fbs::TurnLocation(place.offset, place.bytes, place.topic, place.part);
     });
     const auto ancestors = out.CreateVectorOfStructs(locations);
-    return fbs::CreateTurn(out, id, text, previous, ancestors, value.historyHash).Union();
+    return fbs::CreateTurn(out, id, text, previous, ancestors, value.historyHash, value.tokens).Union();
 }
 
 turn unpack(const fbs::Turn &body)
@@ -45,7 +45,8 @@
     turn value{.id = body.turn()->str(),
                .previous = body.previous() == nullptr ? std::string() : body.previous()->str(),
                .text = std::string(text, body.text()->size()),
-               .historyHash = body.history_hash()};
+               .historyHash = body.history_hash(),
+               .tokens = body.tokens()};
     if (body.ancestors() != nullptr) {
         std::ranges::transform(
             *body.ancestors(), std::back_inserter(value.ancestors), [](const fbs::TurnLocation *place) {
--- a/src/programs/programs.h
+++ b/src/programs/programs.h
@@ -67,6 +67,7 @@
     std::string text; // Input and output of this turn, or the whole history if there are no ancestors.
     std::vector<turn_location> ancestors; // Of the records that hold the history before this turn, oldest first.
     std::uint64_t historyHash = 0; // Of the whole history up to and including this turn.
+    std::uint32_t tokens = 0; // That the turn has used of the budget of its program; 0 if unknown.
     bool operator==(const turn &) const = default;
 };
 
@@ -75,6 +76,7 @@
 {
     std::vector<turn_location> records; // Oldest first; the last one is that of the turn itself.
     std::optional<time_point> began; // When the oldest one was written, or earlier; unset if unknown.
+    std::uint32_t tokens = 0; // That the turn itself has used of the budget of its program; 0 if unknown.
     bool operator==(const turn_chain &) const = default;
 };
 
@@ -195,8 +197,9 @@
     // Leads to a budget_response among the outputs, at the latest at the deadline. A request that was granted before is
     // granted again.
     void reserve(const reservation &request, time_point deadline, time_point now);
-    // Replaces the reservation of a finished request by the tokens that it used.
-    void settle(const settlement &use, time_point now);
+    // Replaces the reservation of a finished request by the tokens that it used. Waits up to `delay` for a reservation
+    // to be appended with.
+    void settle(const settlement &use, time_point now, std::chrono::milliseconds delay = batchingDelay);
     void onReply(budget_call_id id, const store::reply &result, time_point now);
     void tick(time_point now);
     [[nodiscard]] std::optional<time_point> nextDeadline() const;
@@ -204,13 +207,15 @@
     void evictIdle(time_point now);
     [[nodiscard]] budget_usage usageOf(const std::string &program) const; // Includes records that are not written yet.
     [[nodiscard]] bool hasUnwrittenRecords() const;
+    // Whether the request was granted a reservation and no settlement of it is known.
+    [[nodiscard]] bool isUnsettled(const std::string &program, const std::string &attempt) const;
 
 private:
     // A record that is to be appended to the partition.
     struct unwritten_record
     {
         program_record record;
-        time_point since;
+        time_point due; // When it is to be appended at the latest.
         std::optional<time_point> deadline; // Set for a reservation whose response is pending.
         // Set if an append with this record got no reply: the end of the partition on which it was conditional.
         std::optional<std::uint64_t> lostAppendAt;
@@ -238,7 +243,6 @@
     void forgetResolvedAppends();
     void expire(time_point now);
     [[nodiscard]] bool isWritten(const program_record &record) const;
-    [[nodiscard]] bool isGranted(const reservation &request) const;
     [[nodiscard]] bool isViewFresh(time_point now) const;
     [[nodiscard]] bool isUnavailable(time_point now) const;
     [[nodiscard]] std::optional<time_point> appendDue() const;
--- a/src/programs/programs_test.cc
+++ b/src/programs/programs_test.cc
@@ -20,7 +20,7 @@
 {
     const std::vector<program_record> all{
         reservation{"p", "a", 567, 4536}, settlement{"p", "a", 270},
-        turn{"t", "s", std::string("in\0out\n", 7), {{79, 11, 17000, 1U << 20U}, {1, 2, 3, 4}}, 77}};
+        turn{"t", "s", std::string("in\0out\n", 7), {{79, 11, 17000, 1U << 20U}, {1, 2, 3, 4}}, 77, 252}};
     for (const auto &value : all) {
         EXPECT_EQ(decodeRecord(encodeRecord(value)), value);
     }
