Tell a store without room from one that refuses a call

Cause: the status of a full store (507) was decoded as failure::Refused, like 503 or a connection that could not be made. Whether the store was full, busy or out of reach could be told from neither logs nor metrics, and the path selector took a full store, which refuses appends and serves reads, for an outage of the path: two refused appends in a row made the daemon relay its calls.

Change: failure::Full, not executed, may succeed after records are deleted. It counts as served in the path selector and for relayed calls (store::isServed, which stood twice). partition_log and budget_partition send the append again after their retry delay, as for Refused; an append to a full store needs no read before that. What budget_partition decides is unchanged.

The value is sent between daemons as a new last value; a daemon of an older build takes a reply with it for an invalid message.

--- a/src/gateway/internal/store_access.cc
+++ b/src/gateway/internal/store_access.cc
@@ -20,12 +20,6 @@
     return std::holds_alternative<peer_owner>(owner) || std::holds_alternative<probe_owner>(owner);
 }
 
-bool isServed(const store::reply &result)
-{
-    const auto *reason = std::get_if<store::failure>(&result);
-    return reason == nullptr || *reason == store::failure::Rejected;
-}
-
 } // namespace
 
 void store_access::start(store_call_owner owner, store::call call, std::optional<link_id> relay, time_point now,
@@ -111,7 +105,7 @@
     }
     m_completed.push_back({std::move(found->second.owner), response.result});
     m_relayed.erase(found);
-    return isServed(response.result);
+    return store::isServed(response.result);
 }
 
 void store_access::onLinkClosed(link_id link)
--- a/src/peers/peers.cc
+++ b/src/peers/peers.cc
@@ -299,7 +299,7 @@
     case fbs::ReplyKind::Conflict:
         return store_response{body.id(), store::conflict{body.end()}};
     case fbs::ReplyKind::Failure:
-        if (body.failure() <= static_cast<std::uint8_t>(store::failure::Rejected)) {
+        if (body.failure() <= static_cast<std::uint8_t>(store::failure::Full)) {
             return store_response{body.id(), static_cast<store::failure>(body.failure())};
         }
         break;
--- a/src/peers/peers_test.cc
+++ b/src/peers/peers_test.cc
@@ -29,6 +29,7 @@
             store_response{3, store::expired{5}},
             store_response{4, store::newest_page{{{1, "k", "v"}}, true, 8}},
             store_response{5, store::failure::Refused},
+            store_response{5, store::failure::Full},
             budget_request{6, "p", "a", 567, 4536, "t"},
             budget_reply{6, programs::budget_decision::Denied, "n", true},
             budget_use{"p", "a", 243, true},
--- a/src/programs/budget_partition_test.cc
+++ b/src/programs/budget_partition_test.cc
@@ -299,6 +299,25 @@
     EXPECT_EQ(one.budgets.usageOf("p").spent, 30U);
 }
 
+// Guards against reading the partition again before each retry of an append to a full store: the append was certainly
+// not executed.
+TEST_F(budget_partition_test, AppendToAFullStoreIsSentAgainWithoutARead)
+{
+    reserve(one, "0");
+    run(one);
+    reserve(one, "1");
+    ASSERT_EQ(one.calls.size(), 1U);
+    reply(one, store::failure::Full);
+    EXPECT_FALSE(one.hasResponse("1"));
+    clock.advance(budget_partition::retryDelay);
+    one.budgets.tick(clock.now());
+    one.collect();
+    ASSERT_EQ(one.calls.size(), 1U);
+    EXPECT_TRUE(std::holds_alternative<store::append_call>(one.calls.front().call));
+    run(one);
+    EXPECT_EQ(one.decisionOn("1"), budget_decision::Granted);
+}
+
 // Guards against a read during an append. The read returned the records of the append, which were then removed from the
 // list twice, together with records that had not been written (a crash on klitvagt-serve, mix --seed 1062481154085).
 TEST_F(budget_partition_test, NoAppendRunsDuringARead)
--- a/src/store/partition_log_test.cc
+++ b/src/store/partition_log_test.cc
@@ -135,6 +135,21 @@
     EXPECT_TRUE(done(ticket));
 }
 
+// Guards against failing an append at once because the store has no room at the moment.
+TEST_F(partition_log_test, AppendToAFullStoreIsSentAgain)
+{
+    const auto ticket = log.append(where, "own", clock.now() + 1s);
+    collect();
+    log.onReply(calls.at(0).id, failure::Full, clock.now());
+    calls.clear();
+    collect();
+    EXPECT_TRUE(results.empty());
+    clock.advance(partition_log::retryDelay);
+    log.tick(clock.now());
+    replyToAll();
+    EXPECT_TRUE(done(ticket));
+}
+
 // Guards against waiting beyond the deadline for a store that stays unavailable.
 TEST_F(partition_log_test, DeadlineEndsAppendsAndReads)
 {
--- a/src/store/path_selector.cc
+++ b/src/store/path_selector.cc
@@ -29,17 +29,15 @@
 
 void path_selector::onDirectReply(const reply &result, time_point now)
 {
-    const auto *reason = std::get_if<failure>(&result);
-    const bool served = reason == nullptr || *reason == failure::Rejected;
     if (!isDirectPathUp(now)) {
         m_lastDownAt = now;
     }
-    if (served) {
+    if (isServed(result)) {
         m_refusedCalls = 0;
         m_unansweredCalls = 0;
         m_lastServedAt = now;
     } else {
-        ++(*reason == failure::Refused ? m_refusedCalls : m_unansweredCalls);
+        ++(std::get<failure>(result) == failure::Refused ? m_refusedCalls : m_unansweredCalls);
     }
 }
 
--- a/src/store/path_selector_test.cc
+++ b/src/store/path_selector_test.cc
@@ -46,6 +46,21 @@
     EXPECT_EQ(paths.choose(true, clock.now()), path::Relay); // Only this daemon is refused.
 }
 
+// Guards against treating a full store, which refuses appends and serves reads, as an outage of the path (inc1 of
+// klitvagt-serve-grown): all daemons then relayed calls to each other and reported the store as lost and regained.
+TEST(PathSelector, FullStoreIsNoOutage)
+{
+    manual_clock clock;
+    path_selector paths;
+    for (int i = 0; i < 5; ++i) {
+        paths.onDirectReply(failure::Full, clock.now());
+        clock.advance(path_selector::servedWindow);
+        EXPECT_FALSE(paths.isSuspect(clock.now()));
+    }
+    EXPECT_EQ(paths.choose(true, clock.now()), path::Direct);
+    EXPECT_FALSE(paths.wasDownWithin(3s, clock.now()));
+}
+
 // Guards against relaying calls because the store loses some of its replies.
 TEST(PathSelector, LostRepliesAreNoOutageWhileOthersAreServed)
 {
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -131,12 +131,16 @@
     Refused, // Not executed; may succeed later.
     RateLimited, // Not executed; all daemons together, or this one alone, make too many calls.
     Rejected, // Not executed; the same call will be rejected again.
+    Full, // Not executed: the store has no room for records. May succeed after records are deleted; reads are served.
 };
 
 [[nodiscard]] std::string_view nameOf(failure value);
 
 using reply = std::variant<appended, trimmed, conflict, records_read, expired, newest_page, failure>;
 
+// Whether the store processed the call, even if it did not accept it.
+[[nodiscard]] bool isServed(const reply &value);
+
 // The path by which a call reaches the store.
 enum class path : std::uint8_t {
     Direct,
