Show how full the store is and what waits for it

- store_calls_total counts by call and outcome; "full" is an outcome.
- store_full and store_has_room tell the call and the partition, and how long the store was full.
- store_full, store_appended_bytes_total and store_read_bytes_total (turns, budgets, other), budget_unwritten_records and budget_unwritten_seconds.
- budget_decided has reserved_written, reserved_unwritten and view_age_ms. budget_partition decides as before; it gains const functions for its view.

Metrics.TableFollowsTheEnumerators compares the last row of the table with the last enumerator; that is now FirstByteSeconds instead of DroppedLogLines, since the order has changed. The check is as strict as before.

--- a/src/gateway/budgets.cc
+++ b/src/gateway/budgets.cc
@@ -137,14 +137,19 @@
     const std::vector<std::pair<std::string, reservation_requester>> requesters(first, last);
     m_reservationRequesters.erase(first, last);
     if (response.decision != programs::budget_decision::Granted) {
-        log(log_level::Info, "budget_decided",
-            {{"request", response.request.attempt},
-             {"program", response.request.program},
-             {"answer", programs::nameOf(response.decision)},
-             {"budget", response.request.budget},
-             {"asked", response.request.tokens},
-             {"spent", response.usage.spent},
-             {"reserved", response.usage.reserved}});
+        std::vector<log_field> fields{{"request", response.request.attempt},
+                                      {"program", response.request.program},
+                                      {"answer", programs::nameOf(response.decision)},
+                                      {"budget", response.request.budget},
+                                      {"asked", response.request.tokens},
+                                      {"spent", response.usage.spent},
+                                      {"reserved", response.usage.reserved},
+                                      {"reserved_written", response.view.reservedWritten},
+                                      {"reserved_unwritten", response.view.reservedUnwritten}};
+        if (response.view.confirmed.has_value()) {
+            fields.emplace_back("view_age_ms", millisecondsBetween(*response.view.confirmed, now).count());
+        }
+        log(log_level::Info, "budget_decided", std::move(fields));
     }
     for (const auto &[attempt, requester] : requesters) {
         if (!requester.caller.has_value()) {
@@ -361,6 +366,20 @@
     return earliest;
 }
 
+programs::unwritten_records gateway::implementation::unwrittenBudgetRecords() const
+{
+    programs::unwritten_records total;
+    for (const auto &[where, budgets] : m_budgets) {
+        const auto unwritten = budgets.unwrittenRecords();
+        total.reservations += unwritten.reservations;
+        total.settlements += unwritten.settlements;
+        if (unwritten.oldest.has_value()) {
+            total.oldest = std::min(total.oldest.value_or(*unwritten.oldest), *unwritten.oldest);
+        }
+    }
+    return total;
+}
+
 void gateway::implementation::evictIdleBudgets(time_point now)
 {
     for (auto &[where, budgets] : m_budgets) {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -12,8 +12,20 @@
 
 constexpr std::array<std::string_view, 4> dispatchEndNames{"complete", "not_sent", "lost", "timed_out"};
 
+// As programPartition() and turnPartition() name the topics.
+constexpr std::string_view budgetTopicPrefix = "programs-";
+constexpr std::string_view turnTopicPrefix = "turns-";
+
 } // namespace
 
+std::string_view recordKindOf(const store::partition &where)
+{
+    if (where.topic.starts_with(turnTopicPrefix)) {
+        return "turns";
+    }
+    return where.topic.starts_with(budgetTopicPrefix) ? "budgets" : "other";
+}
+
 std::string_view nameOf(dispatch_outcome outcome)
 {
     return dispatchEndNames.at(static_cast<std::size_t>(outcome));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -46,6 +46,9 @@
     std::uint64_t seed = 1;
 };
 
+// What the records of a partition are: "turns", "budgets" or "other".
+[[nodiscard]] std::string_view recordKindOf(const store::partition &where);
+
 // Values of the gauges that a daemon exports.
 struct gateway_status
 {
@@ -53,6 +56,10 @@
     std::size_t peersAlive = 0;
     std::size_t endpointsKnown = 0;
     bool storeReachable = false;
+    bool storeFull = false; // The store refuses appends for lack of room.
+    std::size_t unwrittenReservations = 0; // Records of budgets that are not known to be in the log.
+    std::size_t unwrittenSettlements = 0;
+    std::chrono::milliseconds oldestUnwritten{0}; // How long the oldest of them has waited.
     std::uint64_t configuration = 0; // Version in force; 0 if there is none.
 };
 
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -115,6 +115,7 @@
     void recordUsage(const peers::budget_use &use, const std::string &holder, time_point now);
     void tickBudgets(time_point now);
     void evictIdleBudgets(time_point now);
+    [[nodiscard]] programs::unwritten_records unwrittenBudgetRecords() const;
     [[nodiscard]] std::optional<time_point> nextBudgetDeadline() const;
     [[nodiscard]] std::vector<std::string> rankedDeciders(const store::partition &where, time_point now) const;
     [[nodiscard]] std::string turnHolder(const std::string &turn) const;
--- a/src/gateway/internal/store_access.cc
+++ b/src/gateway/internal/store_access.cc
@@ -15,6 +15,11 @@
     return read == nullptr ? std::chrono::milliseconds(0) : read->wait;
 }
 
+const store::partition &partitionOf(const store::call &call)
+{
+    return std::visit([](const auto &body) -> const store::partition & { return body.where; }, call);
+}
+
 bool requiresDirectPath(const store_call_owner &owner)
 {
     return std::holds_alternative<peer_owner>(owner) || std::holds_alternative<probe_owner>(owner);
@@ -37,7 +42,8 @@
         const auto wait = waitOf(call);
         // Watches do not use the longer timeout after time-outs: a lost reply would delay the changes too long.
         const bool isWatch = std::holds_alternative<watch_owner>(owner);
-        m_direct.emplace(++m_lastCall, direct_call{std::move(owner), wait, now});
+        m_direct.emplace(++m_lastCall,
+                         direct_call{std::move(owner), store::nameOf(call), partitionOf(call), wait, now});
         out.emplace_back(
             make_store_call{store_call_id{m_lastCall}, std::move(call), (isWatch ? baseTimeout() : timeout()) + wait});
     }
@@ -58,6 +64,7 @@
         return;
     }
     m_paths.onDirectReply(received.result, now);
+    m_room.onReply(node.mapped().name, node.mapped().where, received.result, now);
     updateLatency(node.mapped(), received.result, now);
     m_completed.push_back({std::move(node.mapped().owner), received.result});
 }
@@ -150,4 +157,14 @@
     return m_paths;
 }
 
+store_room &store_access::room()
+{
+    return m_room;
+}
+
+const store_room &store_access::room() const
+{
+    return m_room;
+}
+
 } // namespace jackdawpick::gateway::internal
--- a/src/gateway/internal/store_access.h
+++ b/src/gateway/internal/store_access.h
@@ -4,6 +4,7 @@
 // peer), its timeout, and the owner of its reply.
 
 #include "gateway/events.h"
+#include "gateway/internal/store_room.h"
 #include "programs/programs.h"
 #include "store/partition_log.h"
 #include "store/path_selector.h"
@@ -98,6 +99,9 @@
 
     [[nodiscard]] std::deque<store_completion> takeCompletions();
     [[nodiscard]] const store::path_selector &paths() const;
+    // What the replies to direct calls show about the room of the store.
+    [[nodiscard]] store_room &room();
+    [[nodiscard]] const store_room &room() const;
     // Exponentially smoothed latency of direct calls, except long polls.
     [[nodiscard]] std::chrono::milliseconds smoothedLatency() const;
 
@@ -105,6 +109,8 @@
     struct direct_call
     {
         store_call_owner owner;
+        std::string_view name; // Of the kind of call.
+        store::partition where;
         std::chrono::milliseconds wait{0}; // Long-poll timeout of the call; 0 for other calls.
         time_point started;
     };
@@ -124,6 +130,7 @@
     void updateLatency(const direct_call &call, const store::reply &result, time_point now);
 
     store::path_selector m_paths;
+    store_room m_room;
     std::chrono::duration<double, std::milli> m_smoothedLatency{10};
     unsigned m_consecutiveTimeouts = 0;
     std::uint64_t m_lastCall = 0;
--- a/src/gateway/platform_state.cc
+++ b/src/gateway/platform_state.cc
@@ -150,7 +150,7 @@
     m_store.onDirectReply(received, now);
 }
 
-// Logs a change in the reachability of the store and reports it to the peers without delay.
+// Logs a change in the reachability or the room of the store; reports the former to the peers without delay.
 void gateway::implementation::updateStoreState(time_point now)
 {
     m_storeSuspect = m_store.paths().isSuspect(now);
@@ -160,6 +160,13 @@
             {{"relays", relayLink(now).has_value()}});
         m_heartbeatDue = true;
     }
+    if (const auto change = m_store.room().takeChange(); change.has_value()) {
+        log(change->full ? log_level::Warning : log_level::Info, change->full ? "store_full" : "store_has_room",
+            {{"call", change->call},
+             {"topic", change->where.topic},
+             {"part", change->where.number},
+             {"full_ms", change->fullFor.count()}});
+    }
 }
 
 void gateway::implementation::onCompletion(const internal::store_completion &done, time_point now)
@@ -455,10 +462,15 @@
 
 gateway_status gateway::implementation::status(time_point now) const
 {
+    const auto unwritten = unwrittenBudgetRecords();
     return {.openRequests = m_requests.size(),
             .peersAlive = m_peers.alive(now).size(),
             .endpointsKnown = m_pool.size(),
             .storeReachable = m_store.paths().isDirectPathUp(now),
+            .storeFull = m_store.room().isFull(),
+            .unwrittenReservations = unwritten.reservations,
+            .unwrittenSettlements = unwritten.settlements,
+            .oldestUnwritten = millisecondsBetween(unwritten.oldest.value_or(now), now),
             .configuration = m_table == nullptr ? 0 : m_table->source().version};
 }
 
--- a/src/gateway/testing/gateway_world.cc
+++ b/src/gateway/testing/gateway_world.cc
@@ -357,6 +357,12 @@
         reply(1ms, store::failure::Refused);
         return;
     }
+    if (behaviour.full
+        && (std::holds_alternative<store::append_call>(output.call)
+            || std::holds_alternative<store::put_call>(output.call))) {
+        reply(1ms, store::failure::Full);
+        return;
+    }
     const bool replyLost = std::uniform_real_distribution<double>(0, 1)(m_random) < behaviour.replyLossRate;
     // A long poll always lasts its full time; no test depends on an earlier reply.
     const auto *read = std::get_if<store::read_call>(&output.call);
@@ -530,12 +536,21 @@
 void gateway_world::on(int daemon, const log_line &output)
 {
     ++m_logLineCounts[output.event];
+    auto &line = m_lastLogLines[output.event] = output.event;
+    std::ranges::for_each(output.fields,
+                          [&line](const log_field &field) { line += fmt::format(" {}={}", field.key, field.value); });
     if (m_options.printLog) {
         fmt::print("{:>8} daemon-{} {}\n", millisecondsBetween(time_point(), now()).count(), daemon,
                    logging::format(output.level, output.event, output.fields));
     }
 }
 
+std::string gateway_world::lastLogLineOf(std::string_view event) const
+{
+    const auto found = m_lastLogLines.find(std::string(event));
+    return found == m_lastLogLines.end() ? std::string() : found->second;
+}
+
 int gateway_world::logLinesOf(std::string_view event) const
 {
     const auto found = m_logLineCounts.find(std::string(event));
--- a/src/gateway/testing/gateway_world.h
+++ b/src/gateway/testing/gateway_world.h
@@ -75,6 +75,7 @@
 {
     bool unavailable = false; // Never replies.
     bool refuses = false; // Refuses all calls without executing them.
+    bool full = false; // Refuses appends for lack of room and serves reads.
     double replyLossRate = 0; // Share of the calls that are executed but get no reply.
     std::chrono::milliseconds delay{4};
 };
@@ -107,6 +108,8 @@
     [[nodiscard]] time_point now() const;
     // Number of log lines of all daemons with this event.
     [[nodiscard]] int logLinesOf(std::string_view event) const;
+    // The most recent log line of any daemon with this event, without time and level; empty if there is none.
+    [[nodiscard]] std::string lastLogLineOf(std::string_view event) const;
     [[nodiscard]] int runsOf(const std::string &attempt) const;
     [[nodiscard]] std::size_t recordCount(std::string_view topicPrefix) const;
     // Topics that hold at least one record.
@@ -200,6 +203,7 @@
     std::set<std::pair<int, dispatch_id>> m_activeDispatches;
     std::map<std::pair<int, dispatch_id>, std::string> m_attempts;
     std::map<std::string, int> m_logLineCounts;
+    std::map<std::string, std::string> m_lastLogLines;
 };
 
 // Returns a configuration with the routes `/model/` (retains turns), `/read/` and `/pay/`, and their services.
--- a/src/gateway_daemon/gateway_daemon.cc
+++ b/src/gateway_daemon/gateway_daemon.cc
@@ -226,6 +226,10 @@
     m_metrics.set(metric::PeersAlive, {}, static_cast<double>(status.peersAlive));
     m_metrics.set(metric::EndpointsKnown, {}, static_cast<double>(status.endpointsKnown));
     m_metrics.set(metric::StoreReachable, {}, status.storeReachable ? 1 : 0);
+    m_metrics.set(metric::StoreFull, {}, status.storeFull ? 1 : 0);
+    m_metrics.set(metric::BudgetUnwrittenRecords, {"reservation"}, static_cast<double>(status.unwrittenReservations));
+    m_metrics.set(metric::BudgetUnwrittenRecords, {"settlement"}, static_cast<double>(status.unwrittenSettlements));
+    m_metrics.set(metric::BudgetUnwrittenSeconds, {}, std::chrono::duration<double>(status.oldestUnwritten).count());
     m_metrics.set(metric::ConfigurationVersion, {}, static_cast<double>(status.configuration));
     m_metrics.set(metric::DroppedLogLines, {}, static_cast<double>(logging::droppedLines()));
 }
@@ -324,8 +328,15 @@
                                                     time_point startedAt)
 {
     const auto *reason = std::get_if<store::failure>(&reply);
-    m_metrics.add(metric::StoreCalls, {reason == nullptr ? "served" : store::nameOf(*reason)});
+    m_metrics.add(metric::StoreCalls, {store::nameOf(call), reason == nullptr ? "served" : store::nameOf(*reason)});
     if (reason == nullptr) {
+        const auto records = gateway::recordKindOf(std::visit(
+            [](const auto &body) -> const auto & { return body.where; }, call));
+        if (std::holds_alternative<store::appended>(reply)) {
+            m_metrics.add(metric::StoreAppendedBytes, {records}, store::recordBytes(call));
+        } else if (const auto bytes = store::recordBytes(reply); bytes > 0) {
+            m_metrics.add(metric::StoreReadBytes, {records}, bytes);
+        }
         const std::chrono::duration<double> elapsed = m_clock.now() - startedAt;
         m_metrics.observe(metric::StoreCallSeconds, {store::nameOf(call)}, elapsed.count(), m_clock.now());
     }
--- a/src/metrics/metrics.h
+++ b/src/metrics/metrics.h
@@ -26,7 +26,8 @@
 namespace jackdawpick
 {
 
-// In the order of the table.
+// In the order of the table. Metrics with a label set per route come last: collectors may keep only the beginning of
+// the text.
 enum class metric : std::uint8_t {
     Calls,
     CallSeconds,
@@ -46,17 +47,22 @@
     ControlBytes,
     ConfigurationVersion,
     Violations,
-    Requests,
-    RequestSeconds,
-    FirstByteSeconds,
     OpenRequests,
-    EndpointFailures,
-    StoreCalls,
-    StoreCallSeconds,
     StoreReachable,
+    StoreFull,
+    StoreCalls,
+    StoreAppendedBytes,
+    StoreReadBytes,
+    BudgetUnwrittenRecords,
+    BudgetUnwrittenSeconds,
     PeersAlive,
     EndpointsKnown,
     DroppedLogLines,
+    EndpointFailures,
+    Requests,
+    StoreCallSeconds,
+    RequestSeconds,
+    FirstByteSeconds,
 };
 
 enum class metric_kind : std::uint8_t {
--- a/src/metrics/metrics_test.cc
+++ b/src/metrics/metrics_test.cc
@@ -20,7 +20,7 @@
     for (std::size_t i = 0; i < allMetrics().size(); ++i) {
         EXPECT_EQ(static_cast<std::size_t>(allMetrics()[i].id), i) << allMetrics()[i].name;
     }
-    EXPECT_EQ(allMetrics().back().id, metric::DroppedLogLines);
+    EXPECT_EQ(allMetrics().back().id, metric::FirstByteSeconds);
 }
 
 // Guards against label values that break the text format.
--- a/src/programs/budget_partition.cc
+++ b/src/programs/budget_partition.cc
@@ -65,8 +65,8 @@
 
 void budget_partition::respond(const reservation &request, budget_decision decision)
 {
-    m_outputs.emplace_back(
-        budget_response{.request = request, .decision = decision, .usage = usageOf(request.program)});
+    m_outputs.emplace_back(budget_response{
+        .request = request, .decision = decision, .usage = usageOf(request.program), .view = viewOf(request.program)});
 }
 
 void budget_partition::settle(const settlement &use, time_point now)
@@ -339,6 +339,26 @@
     m_ledger.evictIdle(now);
 }
 
+unwritten_records budget_partition::unwrittenRecords() const
+{
+    unwritten_records result;
+    for (const auto &entry : m_unwritten) {
+        ++(std::holds_alternative<reservation>(entry.record) ? result.reservations : result.settlements);
+        result.oldest = std::min(result.oldest.value_or(entry.since), entry.since);
+    }
+    return result;
+}
+
+budget_view budget_partition::viewOf(const std::string &program) const
+{
+    budget_view view{.reservedWritten = m_ledger.usageOf(program).reserved, .confirmed = m_lastConfirmed};
+    for (const auto &entry : m_unwritten) {
+        const auto *reserved = std::get_if<reservation>(&entry.record);
+        view.reservedUnwritten += reserved != nullptr && reserved->program == program ? reserved->tokens : 0;
+    }
+    return view;
+}
+
 std::vector<budget_output> budget_partition::takeOutputs()
 {
     return std::exchange(m_outputs, {});
--- a/src/programs/budget_partition_test.cc
+++ b/src/programs/budget_partition_test.cc
@@ -318,6 +318,34 @@
     EXPECT_EQ(one.decisionOn("1"), budget_decision::Granted);
 }
 
+// Guards against a view in which reservations that wait for an append look like written ones: a denial that rests on
+// them could not be told from one that is due (inc1 of klitvagt-serve-grown).
+TEST_F(budget_partition_test, ViewTellsWrittenFromUnwrittenReservations)
+{
+    reserve(one, "0", 100);
+    run(one);
+    EXPECT_FALSE(one.budgets.unwrittenRecords().oldest.has_value());
+    const auto since = clock.now();
+    reserve(one, "1", 30);
+    settle(one, "0", 10);
+    clock.advance(10ms);
+    const auto unwritten = one.budgets.unwrittenRecords();
+    EXPECT_EQ(unwritten.reservations, 1U);
+    EXPECT_EQ(unwritten.settlements, 1U);
+    EXPECT_EQ(unwritten.oldest, since);
+    const auto view = one.budgets.viewOf("p");
+    EXPECT_EQ(view.reservedWritten, 100U);
+    EXPECT_EQ(view.reservedUnwritten, 30U);
+    EXPECT_LT(view.confirmed, since);
+    EXPECT_EQ(one.budgets.viewOf("other").reservedUnwritten, 0U);
+    clock.advance(budget_partition::batchingDelay);
+    one.budgets.tick(clock.now());
+    run(one);
+    run(one);
+    EXPECT_EQ(one.budgets.unwrittenRecords().reservations + one.budgets.unwrittenRecords().settlements, 0U);
+    EXPECT_EQ(one.budgets.viewOf("p").reservedWritten, 30U);
+}
+
 // Guards against a read during an append. The read returned the records of the append, which were then removed from the
 // list twice, together with records that had not been written (a crash on klitvagt-serve, mix --seed 1062481154085).
 TEST_F(budget_partition_test, NoAppendRunsDuringARead)
--- a/src/programs/programs.h
+++ b/src/programs/programs.h
@@ -129,11 +129,28 @@
 
 [[nodiscard]] std::string_view nameOf(budget_decision value);
 
+// What the decider knew about a program at the time of a decision.
+struct budget_view
+{
+    std::uint64_t reservedWritten = 0; // Tokens of reservations in the log that have no settlement there.
+    std::uint64_t reservedUnwritten = 0; // Tokens of reservations that are not known to be in the log.
+    std::optional<time_point> confirmed; // When the view last included the end of the partition.
+};
+
 struct budget_response
 {
     reservation request;
     budget_decision decision = budget_decision::Unavailable;
     budget_usage usage; // Of the program, at the time of the decision.
+    budget_view view;
+};
+
+// Records of budgets that are not known to be in the log; an append with them may be under way.
+struct unwritten_records
+{
+    std::size_t reservations = 0;
+    std::size_t settlements = 0;
+    std::optional<time_point> oldest; // When the oldest of them was added.
 };
 
 using budget_output = std::variant<start_budget_call, budget_response>;
@@ -170,6 +187,8 @@
     void evictIdle(time_point now);
     [[nodiscard]] budget_usage usageOf(const std::string &program) const; // Includes records that are not written yet.
     [[nodiscard]] bool hasUnwrittenRecords() const;
+    [[nodiscard]] unwritten_records unwrittenRecords() const;
+    [[nodiscard]] budget_view viewOf(const std::string &program) const;
 
 private:
     // A record that is to be appended to the partition.
--- a/src/store/store.cc
+++ b/src/store/store.cc
@@ -1,6 +1,7 @@
 #include "store/store.h"
 
 #include <array>
+#include <numeric>
 
 namespace jackdawpick::store
 {
@@ -32,6 +33,29 @@
     return reason == nullptr || *reason == failure::Rejected || *reason == failure::Full;
 }
 
+std::size_t recordBytes(const call &value)
+{
+    if (const auto *append = std::get_if<append_call>(&value)) {
+        return std::accumulate(append->records.begin(), append->records.end(), std::size_t{0},
+                               [](std::size_t sum, const std::string &record) { return sum + record.size(); });
+    }
+    const auto *put = std::get_if<put_call>(&value);
+    return put == nullptr ? 0 : put->key.size() + put->value.size();
+}
+
+std::size_t recordBytes(const reply &value)
+{
+    const auto *read = std::get_if<records_read>(&value);
+    const auto *page = std::get_if<newest_page>(&value);
+    if (read == nullptr && page == nullptr) {
+        return 0;
+    }
+    const auto &records = read != nullptr ? read->records : page->records;
+    return std::accumulate(records.begin(), records.end(), std::size_t{0}, [](std::size_t sum, const record &entry) {
+        return sum + entry.key.size() + entry.value.size();
+    });
+}
+
 std::string_view nameOf(path value)
 {
     return pathNames.at(static_cast<std::size_t>(value));
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -6,6 +6,7 @@
 //   send(call);   // The reply is a store::reply.
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -141,6 +142,10 @@
 // Whether the store processed the call, even if it did not accept it.
 [[nodiscard]] bool isServed(const reply &value);
 
+// Bytes of keys and values of the records that the call appends, or that the reply holds; 0 for other kinds.
+[[nodiscard]] std::size_t recordBytes(const call &value);
+[[nodiscard]] std::size_t recordBytes(const reply &value);
+
 // The path by which a call reaches the store.
 enum class path : std::uint8_t {
     Direct,
--- a/src/store/store_test.cc
+++ b/src/store/store_test.cc
@@ -27,4 +27,16 @@
     EXPECT_EQ(nameOf(failure::Full), "full");
 }
 
+// Guards against a count of stored bytes that leaves out keys or further records.
+TEST(Replies, RecordBytesAreThoseOfKeysAndValues)
+{
+    const partition where{"t", 0};
+    EXPECT_EQ(recordBytes(call(append_call{where, {"ab", "cde"}, std::nullopt})), 5U);
+    EXPECT_EQ(recordBytes(call(put_call{where, "key", "value"})), 8U);
+    EXPECT_EQ(recordBytes(call(trim_call{where, 9})), 0U);
+    EXPECT_EQ(recordBytes(reply(records_read{2, {{0, "", "ab"}, {1, "k", "v"}}, 2})), 4U);
+    EXPECT_EQ(recordBytes(reply(newest_page{{{4, "k", "v"}}, false, 6})), 2U);
+    EXPECT_EQ(recordBytes(reply(failure::Full)), 0U);
+}
+
 } // namespace jackdawpick::store
--- a/standins/emulator/emulator_test.cc
+++ b/standins/emulator/emulator_test.cc
@@ -39,6 +39,7 @@
         const auto store = platform->start();
         const system_clock_source clock;
         std::vector<std::unique_ptr<gateway_daemon>> processes;
+        std::string metricsAddress;
         for (int i = 0; i < daemons; ++i) {
             gateway_settings settings;
             settings.name = fmt::format("daemon-{}", i);
@@ -47,12 +48,20 @@
             settings.directory = freeAddress();
             settings.readiness = freeAddress();
             settings.peers = freeAddress();
+            settings.metrics = freeAddress();
             settings.storeAddress = store;
+            metricsAddress = settings.metrics;
             driverOptions.directories.push_back(settings.directory);
             processes.push_back(std::make_unique<gateway_daemon>(loop, clock, settings));
             processes.back()->start();
         }
-        program_driver driver(loop, driverOptions, [this] { loop.stop(); });
+        program_driver driver(loop, driverOptions, [&] {
+            net::client_request request{.address = metricsAddress, .path = "/metrics", .body = {}, .headers = {}};
+            loop.request(request, [this](const net::client_result &result) {
+                metrics = result.body;
+                loop.stop();
+            });
+        });
         loop.after(1500ms, [&driver] { driver.start(); }); // The daemons have read what they need.
         loop.after(60s, [this] { loop.stop(); });
         loop.run();
@@ -66,6 +75,7 @@
 
     net::loop loop;
     std::unique_ptr<platform_emulator> platform;
+    std::string metrics; // Of the last daemon, after the programs.
 };
 
 } // namespace
@@ -82,6 +92,21 @@
     }
 }
 
+// Guards against metrics of the store that a daemon never sets, and against their place after those per route: of a
+// long text some collectors keep only the beginning (inc1 of klitvagt-serve-grown: the store's metrics were cut off).
+TEST_F(emulator_test, MetricsShowWhatTheStoreHoldsBeforeTheRoutes)
+{
+    (void)run({}, {.programs = 5}, 1);
+    ASSERT_NE(metrics.find("route="), std::string::npos) << metrics;
+    for (const std::string_view line :
+         {"jackdawpick_store_calls_total{call=\"append\",outcome=\"served\"} ",
+          "jackdawpick_store_appended_bytes_total{records=\"budgets\"} ",
+          "jackdawpick_store_appended_bytes_total{records=\"turns\"} ", "jackdawpick_store_full 0\n",
+          "jackdawpick_budget_unwritten_records{kind=\"reservation\"} 0\n", "jackdawpick_budget_unwritten_seconds "}) {
+        EXPECT_LT(metrics.find(line), metrics.find("route=")) << line << "\n" << metrics;
+    }
+}
+
 // Guards against payments that run twice, refusals that are not true and changed chains while the store loses replies
 // and endpoints lose answers.
 TEST_F(emulator_test, LossesBreakNoPromise)
