--- a/src/programs/budget_partition.cc
+++ b/src/programs/budget_partition.cc
@@ -58,20 +58,20 @@
         }
         return;
     }
-    m_unwritten.push_back({.record = request, .due = now, .deadline = entry.deadline});
+    m_unwritten.push_back({.record = request, .since = now, .due = now, .deadline = entry.deadline});
     startAppend(now);
 }
 
 void budget_partition::respond(const reservation &request, budget_decision decision)
 {
-    m_outputs.emplace_back(
-        budget_response{.request = request, .decision = decision, .usage = usageOf(request.program)});
+    m_outputs.emplace_back(budget_response{
+        .request = request, .decision = decision, .usage = usageOf(request.program), .view = viewOf(request.program)});
 }
 
 void budget_partition::settle(const settlement &use, time_point now, std::chrono::milliseconds delay)
 {
     withdraw(use);
-    m_unwritten.push_back({.record = use, .due = now + delay, .deadline = std::nullopt});
+    m_unwritten.push_back({.record = use, .since = now, .due = now + delay, .deadline = std::nullopt});
     startAppend(now);
     startRequiredRead();
 }
@@ -384,6 +384,28 @@
     m_ledger.evictIdle(now);
 }
 
+unwritten_records budget_partition::unwrittenRecords() const
+{
+    unwritten_records result;
+    for (const auto &entry : m_unwritten) {
+        ++(std::holds_alternative<reservation>(entry.record) ? result.reservations : result.settlements);
+        result.oldest = std::min(result.oldest.value_or(entry.since), entry.since);
+    }
+    return result;
+}
+
+budget_view budget_partition::viewOf(const std::string &program) const
+{
+    budget_view view{.reservedWritten = m_ledger.usageOf(program).reserved, .confirmed = m_lastConfirmed};
+    const auto addReservation = [&](const unwritten_record &entry) {
+        const auto *reserved = std::get_if<reservation>(&entry.record);
+        view.reservedUnwritten += reserved != nullptr && reserved->program == program ? reserved->tokens : 0;
+    };
+    std::ranges::for_each(m_abandoned, addReservation);
+    std::ranges::for_each(m_unwritten, addReservation);
+    return view;
+}
+
 std::vector<budget_output> budget_partition::takeOutputs()
 {
     return std::exchange(m_outputs, {});
--- a/src/programs/programs.h
+++ b/src/programs/programs.h
@@ -165,11 +165,28 @@
 
 [[nodiscard]] std::string_view nameOf(budget_decision value);
 
+// What the decider knew about a program at the time of a decision.
+struct budget_view
+{
+    std::uint64_t reservedWritten = 0; // Tokens of reservations in the log that have no settlement there.
+    std::uint64_t reservedUnwritten = 0; // Tokens of reservations that are not known to be in the log.
+    std::optional<time_point> confirmed; // When the view last included the end of the partition.
+};
+
 struct budget_response
 {
     reservation request;
     budget_decision decision = budget_decision::Unavailable;
     budget_usage usage; // Of the program, at the time of the decision.
+    budget_view view;
+};
+
+// Records of budgets that are not known to be in the log; an append with them may be under way.
+struct unwritten_records
+{
+    std::size_t reservations = 0;
+    std::size_t settlements = 0;
+    std::optional<time_point> oldest; // When the oldest of them was added.
 };
 
 using budget_output = std::variant<start_budget_call, budget_response>;
@@ -209,12 +226,15 @@
     [[nodiscard]] bool hasUnwrittenRecords() const;
     // Whether the request was granted a reservation and no settlement of it is known.
     [[nodiscard]] bool isUnsettled(const std::string &program, const std::string &attempt) const;
+    [[nodiscard]] unwritten_records unwrittenRecords() const;
+    [[nodiscard]] budget_view viewOf(const std::string &program) const;
 
 private:
     // A record that is to be appended to the partition.
     struct unwritten_record
     {
         program_record record;
+        time_point since;
         time_point due; // When it is to be appended at the latest.
         std::optional<time_point> deadline; // Set for a reservation whose response is pending.
         // Set if an append with this record got no reply: the end of the partition on which it was conditional.
