--- a/src/gateway/internal/store_access.h
+++ b/src/gateway/internal/store_access.h
@@ -5,6 +5,7 @@
 
 #include "gateway/events.h"
 #include "gateway/internal/store_room.h"
+#include "gateway/internal/trim_marks.h"
 #include "programs/programs.h"
 #include "store/partition_log.h"
 #include "store/path_selector.h"
@@ -44,9 +45,10 @@
 {
 };
 
-// A call whose reply is not needed.
-struct no_owner
+// A deletion of old records of turns.
+struct trim_owner
 {
+    trim_marks::due_trim trim;
 };
 
 // A call made only to find out whether the store is reachable.
@@ -67,7 +69,7 @@
 };
 
 using store_call_owner = std::variant<partition_log_owner, budget_owner, watch_owner, turn_read_owner,
-                                      registration_owner, no_owner, probe_owner, peer_owner>;
+                                      registration_owner, trim_owner, probe_owner, peer_owner>;
 
 struct store_completion
 {
