Bound the bytes that a response may leave unparsed

Callers saw: a daemon that grew until the host ended it while an engine sent a chunk size, a chunk extension, trailers or garbage in place of chunks without end. Each such exchange also lasted until its deadline.

Cause: the parser of Boost.Beast bounds the header only. The line before a chunk and the trailers are kept until they are complete, without a bound. The server side kept such bytes of a request in the same way, up to the time that a request has to arrive.

Change: bytes that wait for more are bounded by 32 KiB, the bound of the header. Client: the connection counts as lost. Collected bodies get a bound that each request can set.

--- a/src/net/internal/http_client.cc
+++ b/src/net/internal/http_client.cc
@@ -11,7 +11,6 @@
 namespace
 {
 
-constexpr std::uint32_t maxHeaderBytes = 32768;
 // Collected bodies are bounded by message_parser. The parser of Boost 1.74 refuses every Content-Length if it is given
 // no limit at all.
 constexpr std::uint64_t noLimit = std::numeric_limits<std::uint64_t>::max();
@@ -73,6 +72,7 @@
     m_parser = std::make_unique<message_parser<false>>();
     m_parser->header_limit(maxHeaderBytes);
     m_parser->body_limit(noLimit);
+    m_parser->maxCollected = m_request.maxCollectedBytes;
     m_parser->eager(true);
     m_parser->skip(m_request.method == "HEAD");
     m_skipping = false;
@@ -135,7 +135,8 @@
     const auto used = m_parser->put(boost::asio::const_buffer(m_input.data(), m_input.size()), failure);
     m_parser->eager(true);
     m_input.erase(0, used);
-    if (failure && failure != beast_http::error::need_more) {
+    const bool tooLong = failure == beast_http::error::need_more && m_input.size() > maxHeaderBytes;
+    if (tooLong || (failure && failure != beast_http::error::need_more)) {
         finish(client_error::ConnectionLost);
         return false;
     }
--- a/src/net/internal/http_server.cc
+++ b/src/net/internal/http_server.cc
@@ -11,7 +11,6 @@
 namespace
 {
 
-constexpr std::uint32_t maxHeaderBytes = 32768;
 constexpr std::size_t maxPipelinedBytes = 65536;
 constexpr std::size_t maxRefusedConnections = 64; // Connections beyond the limit that still get an answer.
 // Time for a client to read its last answer while further input is discarded; closing at once would reset the
@@ -94,6 +93,11 @@
         refuseParsed(failure);
         return false;
     }
+    if (failure && m_input.size() > maxHeaderBytes) {
+        refuse(result_code::RequestTooLarge,
+               fmt::format("a chunk header or the trailers exceed {} bytes", maxHeaderBytes));
+        return false;
+    }
     if (m_server.m_bodyBytes > m_server.m_options.maxBufferedBytes) {
         refuse(result_code::TooManyConnections, "too many request bodies are arriving at the same time");
         return false;
--- a/src/net/internal/message_parser.h
+++ b/src/net/internal/message_parser.h
@@ -6,6 +6,7 @@
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 #include <cctype>
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -17,6 +18,10 @@
 
 namespace beast_http = boost::beast::http;
 
+// Bound of the bytes that wait for more before they can be parsed: a header, the line before a chunk, or trailers. The
+// parser itself bounds the header only.
+inline constexpr std::uint32_t maxHeaderBytes = 32768;
+
 using header_list = std::vector<std::pair<std::string, std::string>>;
 
 // The value of the first field with this lower-case name, or an empty text.
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -69,6 +69,8 @@
     // Takes an idle connection if there is one, and keeps the connection for others. A peer may close such a connection
     // while the request is on its way, so requests that must not be repeated do without.
     bool reuseConnection = false;
+    std::size_t maxCollectedBytes =
+        64U << 20U; // Bound of client_result::body; a longer one counts as a lost connection.
     std::chrono::milliseconds idleTime{4000}; // How long the connection is kept; less if the server announces less.
 };
 
