Read past interim responses and refuse statuses that HTTP lacks

Callers saw: the first of a run of "100 Continue" as the final response, with its status 100; and statuses such as 000, 101 or 999 forwarded as the engine's.

Cause: the parser completes an interim response as a message without a body, and the client took each complete message for the response.

Change: interim responses are read past, as responses to other requests are, at most eight in one exchange for both together, since neither comes in numbers from a sound server and a run without end would last until the deadline. A status below 100, 101 or from 600 on counts as a lost connection, so that the request is retried or answered with 502.

Tests in endless_response_test: InvalidBytesEndTheExchange with interim responses, InterimResponsesAreSkipped and AStatusOutOfRangeIsNoResponse failed before (error None, status 100); ResponsesToOthersEndTheExchange is new with this change.

--- a/src/net/endless_response_test.cc
+++ b/src/net/endless_response_test.cc
@@ -43,6 +43,8 @@
     {"header line", okHead + "X-A: ", longText},
     {"header lines", okHead, "X-A: b\r\n"},
     {"empty lines", "", "\r\n"},
+    {"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+    {"interim responses with headers", "", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"},
     {"no HTTP", "", longText},
     {"no HTTP in lines", "", "SSH-2.0-x\r\n"},
     {"zero bytes", "", std::string(4096, '\0')},
@@ -137,7 +139,8 @@
 
 } // namespace
 
-// Guards against memory without bound for bytes that never become a response, and against waiting for the deadline while such bytes arrive.
+// Guards against memory without bound for bytes that never become a response, against taking an interim response for
+// the final one, and against waiting for the deadline while such bytes arrive.
 TEST_F(endless_response_test, InvalidBytesEndTheExchange)
 {
     for (const auto &[name, beginning, repeated] : invalidShapes) {
@@ -268,4 +271,51 @@
     }
 }
 
+// Guards against refusing a response because of the few interim responses that HTTP allows before it.
+TEST_F(endless_response_test, InterimResponsesAreSkipped)
+{
+    const testing::endless_sender server({.beginning = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: "
+                                                       "</a>\r\n\r\n"
+                                              + okHead + "Content-Length: 2\r\n\r\nok",
+                                          .repeated = ""});
+    for (const auto &[error, took, status] : run(server.address(), requestDeadline)) {
+        EXPECT_EQ(error, client_error::None);
+        EXPECT_EQ(status, 200);
+    }
+    EXPECT_EQ(bodyBytes, 2U * connectionsAtATime);
+}
+
+// Guards against reading responses to other requests for as long as a server sends them: one may arrive late, not many.
+TEST_F(endless_response_test, ResponsesToOthersEndTheExchange)
+{
+    const testing::endless_sender server(
+        {.beginning = "", .repeated = okHead + "X-Id: other\r\nContent-Length: 2\r\n\r\nno"});
+    const testing::peak_allocation peak;
+    const auto skipAll = [](const answer_head &) {
+        return head_verdict::Skip;
+    };
+    for (const auto &[error, took, status] : run(server.address(), requestDeadline, skipAll)) {
+        EXPECT_EQ(error, client_error::ConnectionLost);
+        EXPECT_LT(took, requestDeadline);
+    }
+    EXPECT_EQ(bodyBytes, 0U);
+    EXPECT_LE(peak.bytes(), connectionsAtATime * maxHeldBytesPerExchange);
+    runUntilClosed(server, connectionsAtATime);
+    EXPECT_EQ(server.closedByPeer(), connectionsAtATime);
+}
+
+// Guards against forwarding a status that HTTP does not have.
+TEST_F(endless_response_test, AStatusOutOfRangeIsNoResponse)
+{
+    for (const auto *line : {"HTTP/1.1 000 \r\n", "HTTP/1.1 099 \r\n", "HTTP/1.1 600 \r\n", "HTTP/1.1 999 \r\n",
+                             "HTTP/1.1 101 Switching Protocols\r\n"}) {
+        SCOPED_TRACE(line);
+        const testing::endless_sender server(
+            {.beginning = std::string(line) + "Content-Length: 2\r\n\r\nok", .repeated = ""});
+        for (const auto &[error, took, status] : run(server.address(), requestDeadline)) {
+            EXPECT_EQ(error, client_error::ConnectionLost);
+        }
+    }
+}
+
 } // namespace jackdawpick::net
--- a/src/net/internal/http_client.cc
+++ b/src/net/internal/http_client.cc
@@ -15,6 +15,10 @@
 // no limit at all.
 constexpr std::uint64_t noLimit = std::numeric_limits<std::uint64_t>::max();
 constexpr std::size_t maxIdlePerAddress = 32;
+// Interim responses and late responses to other requests that one exchange reads past.
+constexpr unsigned maxSkippedResponses = 8;
+constexpr unsigned switchingProtocols = 101;
+constexpr unsigned firstUndefinedStatus = 600;
 // Part of the idle time announced by a server after which the connection is no longer used, since a request that
 // crosses the server's close may have run.
 constexpr double usedPartOfIdleTime = 0.6;
@@ -140,31 +144,48 @@
         finish(client_error::ConnectionLost);
         return false;
     }
-    if (!hadHeader && m_parser->is_header_done()) {
-        takeHead();
+    if (!hadHeader && m_parser->is_header_done() && !takeHead()) {
+        finish(client_error::ConnectionLost);
+        return false;
     }
     return used > 0;
 }
 
-void http_exchange::takeHead()
+// Returns false if the head is not one of a response to the request.
+bool http_exchange::takeHead()
 {
+    const auto status = static_cast<unsigned>(m_parser->status);
+    if (status < 100 || status == switchingProtocols || status >= firstUndefinedStatus) {
+        return false; // The client never asks for another protocol.
+    }
+    if (status / 100 == 1) {
+        return skipResponse(); // The final response follows.
+    }
     bool toHandler = m_handlers.onChunk && m_parser->status / 100 == 2;
     if (m_handlers.onHead) {
         answer_head head{.status = static_cast<std::uint16_t>(m_parser->status), .headers = m_parser->headers};
         if (const auto length = m_parser->content_length(); length) {
             head.contentLength = *length;
         }
-        m_skipping = m_handlers.onHead(head) == head_verdict::Skip;
-        toHandler = !m_skipping && m_handlers.onChunk != nullptr;
+        if (m_handlers.onHead(head) == head_verdict::Skip) {
+            return skipResponse();
+        }
+        toHandler = m_handlers.onChunk != nullptr;
     }
-    if (m_skipping) {
-        m_parser->sink = [](std::string_view) {
-        };
-    } else if (toHandler) {
+    if (toHandler) {
         m_parser->sink = [this](std::string_view part) {
             passBody(part);
         };
     }
+    return true;
+}
+
+bool http_exchange::skipResponse()
+{
+    m_skipping = true;
+    m_parser->sink = [](std::string_view) {
+    };
+    return ++m_skippedResponses <= maxSkippedResponses;
 }
 
 void http_exchange::passBody(std::string_view bytes)
--- a/src/net/internal/http_client.h
+++ b/src/net/internal/http_client.h
@@ -43,7 +43,8 @@
     void resetParser();
     void parse();
     bool parseStep();
-    void takeHead();
+    bool takeHead();
+    bool skipResponse();
     void passBody(std::string_view bytes);
     void complete();
     [[nodiscard]] std::chrono::milliseconds idleTime() const;
@@ -59,6 +60,7 @@
     std::uint64_t m_handedBefore = 0; // By earlier exchanges on the same connection.
     std::unique_ptr<message_parser<false>> m_parser;
     bool m_skipping = false; // The answer being read belongs to another request.
+    unsigned m_skippedResponses = 0;
     std::string m_input;
     timer m_timeout;
     timer m_silence;
