Use no idle connection that holds unread bytes or its end

Callers saw: a request that must not run twice answered with 502, because it was sent on an idle connection on which extra bytes or the end had arrived and the loop had not read them yet.

Cause: an idle connection is dropped when the loop reads from it; between two turns of the loop it could still be taken.

Change: the client looks at the socket (MSG_PEEK) before it takes an idle connection, and closes one that has anything to read.

--- a/src/net/endless_response_test.cc
+++ b/src/net/endless_response_test.cc
@@ -271,6 +271,31 @@
     }
 }
 
+// Guards against sending a request on an idle connection whose extra bytes or whose end have arrived and have not been
+// read yet: a request that must not run twice would be lost on it.
+TEST_F(endless_response_test, AnIdleConnectionWithUnreadBytesIsNotUsed)
+{
+    const testing::endless_sender server(
+        {.beginning = okHead + "Content-Length: 2\r\n\r\nok", .repeated = "more", .pauseAfterBeginning = 30ms});
+    outcome first;
+    outcome second;
+    start({.address = server.address(), .reuseConnection = true}, [&](const outcome &result) {
+        first = result;
+        // The loop does not read while it is held here, as it is when other work takes its time.
+        loop.after(1ms, [&] {
+            std::this_thread::sleep_for(200ms);
+            start({.address = server.address(), .method = "POST", .reuseConnection = true}, [&](const outcome &later) {
+                second = later;
+                loop.stop();
+            });
+        });
+    });
+    loop.run();
+    EXPECT_EQ(first.error, client_error::None);
+    EXPECT_EQ(second.error, client_error::None);
+    EXPECT_EQ(server.connections(), 2);
+}
+
 // Guards against refusing a response because of the few interim responses that HTTP allows before it.
 TEST_F(endless_response_test, InterimResponsesAreSkipped)
 {
--- a/src/net/internal/http_client.cc
+++ b/src/net/internal/http_client.cc
@@ -314,6 +314,10 @@
 
 connection_ptr idle_connection::take()
 {
+    if (m_link->hasUnread()) {
+        m_link->close();
+        return nullptr;
+    }
     m_link->setEvents(nullptr);
     return std::move(m_link);
 }
@@ -382,8 +386,11 @@
     if (found == m_idle.end()) {
         return nullptr;
     }
-    connection_ptr link = found->second.back()->take();
-    found->second.pop_back();
+    connection_ptr link;
+    while (link == nullptr && !found->second.empty()) {
+        link = found->second.back()->take();
+        found->second.pop_back();
+    }
     if (found->second.empty()) {
         m_idle.erase(found);
     }
--- a/src/net/internal/http_client.h
+++ b/src/net/internal/http_client.h
@@ -73,6 +73,7 @@
 public:
     idle_connection(http_client &client, transport &owner, std::string address, connection_ptr link,
                     std::chrono::milliseconds idleTime);
+    // Null if the peer has sent bytes or has closed the connection; it must not be used then.
     connection_ptr take();
 
 private:
--- a/src/net/internal/transport.cc
+++ b/src/net/internal/transport.cc
@@ -204,6 +204,12 @@
     return m_ended;
 }
 
+bool connection::hasUnread() const
+{
+    char byte = 0;
+    return m_closed || ::recv(m_socket, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) >= 0 || errno != EAGAIN;
+}
+
 bool connection::onReadable()
 {
     if (!checkOpened()) {
--- a/src/net/internal/transport.h
+++ b/src/net/internal/transport.h
@@ -90,6 +90,8 @@
     [[nodiscard]] std::uint64_t handedBytes() const; // Bytes taken by the kernel since the start.
     // The peer ended its direction; false after a reset or an error.
     [[nodiscard]] bool endedByPeer() const;
+    // The peer has sent bytes or has closed the connection, and no event has reported it yet.
+    [[nodiscard]] bool hasUnread() const;
     // No further event; the socket is closed in the next turn of the loop.
     void close();
     // Ends the own direction once all queued bytes are written; the peer still sees them.
