Pass the body of a response once for each block that is read

Callers saw: requests to sound engines failed or came late while an engine sent chunks of one byte without end.

Cause: the client called its owner for each chunk, so a block of 32 KiB led to more than 5000 runs of the reducer and as many queued writes.

Change: the client collects what one block of input holds and passes it once. Nothing waits for further input.

Tests: endless_response_test SmallChunksArePassedTogether failed before (40000 calls of the handler against a bound of 400).

--- a/src/net/endless_response_test.cc
+++ b/src/net/endless_response_test.cc
@@ -99,7 +99,11 @@
                 const auto took = std::chrono::steady_clock::now() - startedAt;
                 finish({result.error, std::chrono::duration_cast<milliseconds>(took), result.status});
             },
-            [this](std::string_view bytes) { bodyBytes += bytes.size(); }, onHead);
+            [this](std::string_view bytes) {
+                ++bodyParts;
+                bodyBytes += bytes.size();
+            },
+            onHead);
     }
 
     std::vector<outcome> run(const std::string &address, milliseconds timeout, const head_handler &onHead = takeAll)
@@ -133,6 +137,7 @@
 
     net::loop loop;
     std::uint64_t bodyBytes = 0;
+    std::uint64_t bodyParts = 0;
     std::chrono::steady_clock::time_point lastTick;
     milliseconds longestGap{0};
 };
@@ -343,4 +348,22 @@
     }
 }
 
+// Guards against a call of the owner for each chunk: a server that sends chunks of one byte would hold the loop.
+TEST_F(endless_response_test, SmallChunksArePassedTogether)
+{
+    constexpr std::size_t chunks = 5000; // Fewer bytes than the transport reads at once.
+    std::string beginning = chunkedHead;
+    for (std::size_t i = 0; i < chunks; ++i) {
+        beginning += "1\r\na\r\n";
+    }
+    const testing::endless_sender server({.beginning = beginning + "0\r\n\r\n", .repeated = ""});
+    for (const auto &[error, took, status] : run(server.address(), requestDeadline)) {
+        EXPECT_EQ(error, client_error::None);
+    }
+    EXPECT_EQ(bodyBytes, chunks * connectionsAtATime);
+    // The kernel may deliver the bytes of a response in several parts.
+    EXPECT_GT(bodyParts, 0U);
+    EXPECT_LE(bodyParts, chunks * connectionsAtATime / 100);
+}
+
 } // namespace jackdawpick::net
--- a/src/net/internal/http_client.cc
+++ b/src/net/internal/http_client.cc
@@ -139,6 +139,7 @@
     const auto used = m_parser->put(boost::asio::const_buffer(m_input.data(), m_input.size()), failure);
     m_parser->eager(true);
     m_input.erase(0, used);
+    passBody();
     const bool tooLong = failure == beast_http::error::need_more && m_input.size() > maxHeaderBytes;
     if (tooLong || (failure && failure != beast_http::error::need_more)) {
         finish(client_error::ConnectionLost);
@@ -174,7 +175,7 @@
     }
     if (toHandler) {
         m_parser->sink = [this](std::string_view part) {
-            passBody(part);
+            m_body += part;
         };
     }
     return true;
@@ -188,10 +189,11 @@
     return ++m_skippedResponses <= maxSkippedResponses;
 }
 
-void http_exchange::passBody(std::string_view bytes)
+// Passes what one block of input held, since a call for each chunk would be slow if the server sends tiny ones.
+void http_exchange::passBody()
 {
-    if (m_link != nullptr) { // The handler may have cancelled after an earlier part.
-        m_handlers.onChunk(bytes);
+    if (!m_body.empty()) {
+        m_handlers.onChunk(std::exchange(m_body, {}));
     }
 }
 
--- a/src/net/internal/http_client.h
+++ b/src/net/internal/http_client.h
@@ -45,7 +45,7 @@
     bool parseStep();
     bool takeHead();
     bool skipResponse();
-    void passBody(std::string_view bytes);
+    void passBody();
     void complete();
     [[nodiscard]] std::chrono::milliseconds idleTime() const;
     void finish(client_error reason);
@@ -62,6 +62,7 @@
     bool m_skipping = false; // The answer being read belongs to another request.
     unsigned m_skippedResponses = 0;
     std::string m_input;
+    std::string m_body; // Parsed and not yet passed to the handler.
     timer m_timeout;
     timer m_silence;
     timer m_connecting;
--- a/src/testing/endless_sender.cc
+++ b/src/testing/endless_sender.cc
@@ -1,5 +1,6 @@
 #include "testing/endless_sender.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <cerrno>
@@ -86,6 +87,13 @@
     return m_closedByPeer;
 }
 
+bool endless_sender::received(std::string_view text) const
+{
+    const std::scoped_lock lock(m_mutex);
+    return std::ranges::any_of(m_requests,
+                               [text](const auto &request) { return request.find(text) != std::string::npos; });
+}
+
 std::uint64_t endless_sender::sentBytes() const
 {
     return m_sentBytes;
@@ -114,7 +122,12 @@
 {
     std::array<char, 4096> request{};
     while (!stop.stop_requested() && !waitFor(socket, POLLIN, stopCheckInterval)) { }
-    bool open = ::recv(socket, request.data(), request.size(), 0) > 0 && sendAll(stop, socket, m_content.beginning);
+    const auto count = ::recv(socket, request.data(), request.size(), 0);
+    if (count > 0) {
+        const std::scoped_lock lock(m_mutex);
+        m_requests.emplace_back(request.data(), static_cast<std::size_t>(count));
+    }
+    bool open = count > 0 && sendAll(stop, socket, m_content.beginning);
     if (open) {
         std::this_thread::sleep_for(m_content.pauseAfterBeginning);
     }
--- a/src/testing/endless_sender.h
+++ b/src/testing/endless_sender.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <mutex>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -39,6 +40,7 @@
     [[nodiscard]] const std::string &address() const; // "ip:port"
     [[nodiscard]] int connections() const; // Accepted so far.
     [[nodiscard]] int closedByPeer() const; // Connections whose peer has closed or reset them.
+    [[nodiscard]] bool received(std::string_view text) const; // At the beginning of a connection.
     [[nodiscard]] std::uint64_t sentBytes() const; // Taken by the kernel, over all connections.
 
 private:
@@ -52,7 +54,8 @@
     std::atomic<int> m_connections = 0;
     std::atomic<int> m_closedByPeer = 0;
     std::atomic<std::uint64_t> m_sentBytes = 0;
-    std::mutex m_mutex; // Protects m_servers.
+    mutable std::mutex m_mutex; // Protects the members up to m_servers.
+    std::vector<std::string> m_requests; // First bytes of each connection.
     std::vector<std::jthread> m_servers;
     std::jthread m_acceptor; // Last, so that it ends first.
 };
