Bound the events and the text of a stream

Callers saw: a daemon that grew until the host ended it while an engine sent one event without end or events without end.

Causes: - An event was buffered until its blank line came.

Change: a stream is broken off, and counts against its engine as a lost connection, when an incomplete event exceeds 64 KiB, the text of a turn 256 KiB, or the events twice the request's most tokens. An event holds a few tokens, so these are far beyond what a sound engine sends. Twice and not once, because a wrong cut would lose every turn if engines count an event more than we know, and the rule on budgets tolerates the most of one turn. The event that exceeds is not forwarded. The splitter looks at each byte once and hands out one event at a time.

Comments and empty events are a valid stream. They are forwarded and end at the deadline, as before; memory was bounded there.

CommentsEndAtTheDeadline and EventsAreSplitAlikeInAllParts passed before; the latter was written against the old splitter to keep its cuts.

Run: endless_stream_test 7 of 7, gateway_test 26 of 26 passed.

--- a/src/gateway/dispatching.cc
+++ b/src/gateway/dispatching.cc
@@ -21,6 +21,13 @@
 // Responses to idempotent requests are buffered until they are complete if they are no larger than this, so that the
 // request can be retried on another endpoint when the connection is lost.
 constexpr std::uint64_t maxBufferedResponseBytes = 64U << 10U;
+// An event holds a few tokens. One that grows beyond this, or the text of a turn beyond its own bound, is no answer of
+// a sound engine and would fill the memory of the host.
+constexpr std::size_t maxIncompleteEventBytes = 64U << 10U;
+constexpr std::size_t maxTurnResponseBytes = 256U << 10U;
+// A stream is broken off when it exceeds the request's most tokens by this factor. Budgets allow for one turn too much;
+// the last event may hold more tokens than were left.
+constexpr std::uint64_t toleratedTokenFactor = 2;
 constexpr std::uint16_t misdirectedRequest = 421;
 
 bool isEventStream(const header_list &headers)
@@ -177,26 +184,46 @@
         context.responseText += received.bytes;
     } else if (context.eventStream) {
         forwardEvents(context, received.bytes, now);
+        if (exceedsTurn(context) || context.eventSplitter.incompleteEvent().size() > maxIncompleteEventBytes) {
+            m_effects.emplace_back(cancel_dispatch{received.dispatch});
+            onDispatchFailed(context, dispatch_outcome::Lost, now);
+        }
     } else {
         context.firstByteAt = context.firstByteAt.value_or(now);
         m_effects.emplace_back(response_bytes{context.id, received.bytes});
     }
 }
 
-// Forwards complete events only, so that the number of events that the caller has received is known exactly.
+// Whether the events received are more than the request may generate.
+bool gateway::implementation::exceedsTurn(const request_context &context) const
+{
+    const std::uint64_t most = std::max(context.request.maxOutputTokens, tokensPerEvent(context));
+    const bool tooManyTokens =
+        context.request.maxOutputTokens > 0 && tokensDelivered(context) > toleratedTokenFactor * most;
+    return tooManyTokens || context.responseText.size() > maxTurnResponseBytes;
+}
+
+// Forwards complete events only, so that the number of events that the caller has received is known exactly. Forwards
+// none from the first one on that is too much for the request.
 void gateway::implementation::forwardEvents(request_context &context, const std::string &bytes, time_point now)
 {
     std::string forwarded;
     const auto eventsBefore = context.eventCount;
-    for (const auto &streamEvent : context.eventSplitter.append(bytes)) {
-        forwarded += streamEvent.raw;
-        if (streamEvent.hasData) {
+    context.eventSplitter.append(bytes);
+    bool exceeds = false;
+    for (auto complete = context.eventSplitter.next(); complete.has_value() && !exceeds;
+         complete = context.eventSplitter.next()) {
+        if (complete->hasData) {
             ++context.eventCount;
             if (context.route->retainsTurns) {
-                context.responseText += streamEvent.data;
+                context.responseText += complete->data;
                 context.responseText += '\n';
             }
         }
+        exceeds = exceedsTurn(context);
+        if (!exceeds) {
+            forwarded += complete->raw;
+        }
     }
     if (const auto events = context.eventCount - eventsBefore; events > 0) {
         if (context.lastEventAt.has_value()) {
@@ -237,7 +264,7 @@
                                               context.bufferedHead->contentLength});
         m_effects.emplace_back(response_bytes{context.id, std::move(context.responseText)});
     } else if (context.eventStream && !context.eventSplitter.incompleteEvent().empty()) {
-        m_effects.emplace_back(response_bytes{context.id, context.eventSplitter.incompleteEvent()});
+        m_effects.emplace_back(response_bytes{context.id, std::string(context.eventSplitter.incompleteEvent())});
     }
     if (context.eventStream && context.route->retainsTurns) {
         startTurnWrite(context, now);
--- a/src/gateway/internal/event_splitter.cc
+++ b/src/gateway/internal/event_splitter.cc
@@ -11,17 +11,17 @@
 
 constexpr std::array<std::string_view, 2> eventTerminators{"\n\n", "\r\n\r\n"};
 
-// Returns the position after the first event terminator at or after `from`; npos if there is none.
+// Returns the position after the first event terminator that begins at or after `from`; npos if there is none. Looks at
+// each byte once, so that a series of very short events costs no more than a long one.
 std::size_t endOfEvent(std::string_view text, std::size_t from)
 {
-    std::size_t earliest = std::string_view::npos;
-    for (const auto end : eventTerminators) {
-        const auto found = text.find(end, from);
-        if (found != std::string_view::npos) {
-            earliest = std::min(earliest, found + end.size());
+    for (auto feed = text.find('\n', from); feed != std::string_view::npos; feed = text.find('\n', feed + 1)) {
+        const auto seen = text.substr(from, feed + 1 - from);
+        if (std::ranges::any_of(eventTerminators, [seen](auto end) { return seen.ends_with(end); })) {
+            return feed + 1;
         }
     }
-    return earliest;
+    return std::string_view::npos;
 }
 
 void addDataLines(stream_event &event)
@@ -50,26 +50,33 @@
 
 } // namespace
 
-std::vector<stream_event> event_splitter::append(std::string_view bytes)
+void event_splitter::append(std::string_view bytes)
 {
+    m_buffer.erase(0, m_start);
+    m_scanned -= m_start;
+    m_start = 0;
     m_buffer.append(bytes);
-    std::vector<stream_event> events;
-    std::size_t start = 0;
-    for (auto end = endOfEvent(m_buffer, m_scanned); end != std::string::npos; end = endOfEvent(m_buffer, start)) {
-        auto &event = events.emplace_back();
-        event.raw = m_buffer.substr(start, end - start);
-        addDataLines(event);
-        start = end;
+}
+
+std::optional<stream_event> event_splitter::next()
+{
+    const auto end = endOfEvent(m_buffer, m_scanned);
+    if (end == std::string_view::npos) {
+        constexpr std::size_t maxPartialTerminator = 3;
+        const auto unscanned = std::min(m_buffer.size() - m_start, maxPartialTerminator);
+        m_scanned = m_buffer.size() - unscanned;
+        return std::nullopt;
     }
-    m_buffer.erase(0, start);
-    constexpr std::size_t maxPartialTerminator = 3;
-    m_scanned = m_buffer.size() - std::min(m_buffer.size(), maxPartialTerminator);
-    return events;
+    stream_event event{.raw = m_buffer.substr(m_start, end - m_start)};
+    addDataLines(event);
+    m_start = end;
+    m_scanned = end;
+    return event;
 }
 
-const std::string &event_splitter::incompleteEvent() const
+std::string_view event_splitter::incompleteEvent() const
 {
-    return m_buffer;
+    return std::string_view(m_buffer).substr(m_start);
 }
 
 } // namespace jackdawpick::gateway::internal
--- a/src/gateway/internal/event_splitter.h
+++ b/src/gateway/internal/event_splitter.h
@@ -3,11 +3,13 @@
 // Splits a stream of server-sent events (SSE) into complete events and keeps their bytes unchanged.
 //
 //   event_splitter splitter;
-//   for (auto &event : splitter.append(bytes)) { forward(event.raw); }
+//   splitter.append(bytes);
+//   while (auto event = splitter.next()) { forward(event->raw); }
 
+#include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace jackdawpick::gateway::internal
 {
@@ -22,13 +24,15 @@
 class event_splitter
 {
 public:
-    // Appends `bytes` and returns the events that they complete.
-    [[nodiscard]] std::vector<stream_event> append(std::string_view bytes);
-    // The bytes received so far of an event that is not complete.
-    [[nodiscard]] const std::string &incompleteEvent() const;
+    void append(std::string_view bytes);
+    // The next complete event; nothing until more bytes arrive.
+    [[nodiscard]] std::optional<stream_event> next();
+    // The bytes received so far of an event that is not complete. Valid after next() has returned nothing.
+    [[nodiscard]] std::string_view incompleteEvent() const;
 
 private:
     std::string m_buffer;
+    std::size_t m_start = 0; // Of the next event.
     std::size_t m_scanned = 0; // No terminator begins before this position of the buffer.
 };
 
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -128,6 +128,7 @@
     void dispatchIfPrepared(request_context &context, time_point now);
     void startTurnWrite(request_context &context, time_point now);
     void onTurnWritten(request_context &context, const store::ticket_result &result, time_point now);
+    [[nodiscard]] std::uint32_t tokensPerEvent(const request_context &context) const;
     [[nodiscard]] std::uint32_t tokensDelivered(const request_context &context) const;
     [[nodiscard]] store::partition programPartition(const std::string &program) const;
     // A turn is stored in its primary partition, or in its fallback partition if the primary one could not be written.
@@ -140,6 +141,7 @@
     void releaseEndpoint(request_context &context, fleet::request_outcome outcome, time_point now);
     void onRejected(request_context &context, const response_head &head, time_point now);
     void startForwarding(request_context &context, response_head &head);
+    [[nodiscard]] bool exceedsTurn(const request_context &context) const;
     void forwardEvents(request_context &context, const std::string &bytes, time_point now);
     void onResponseComplete(request_context &context, time_point now);
     void onDispatchFailed(request_context &context, dispatch_outcome outcome, time_point now);
--- a/src/gateway/testing/gateway_world.cc
+++ b/src/gateway/testing/gateway_world.cc
@@ -299,6 +299,15 @@
         return;
     }
     runs.push_back({output.endpoint, output.attempt, output.body, now()});
+    if (const auto endless = endlessResponses.find(output.endpoint); endless != endlessResponses.end()) {
+        respond(0ms,
+                response_head{.dispatch = output.dispatch,
+                              .status = 200,
+                              .hasEndpointSignature = true,
+                              .headers = {{"content-type", endless->second.contentType}}});
+        sendWithoutEnd(daemon, incarnation, output.dispatch, endless->second.piece);
+        return;
+    }
     if (behaviour == endpoint_behaviour::Hangs) {
         return;
     }
@@ -327,6 +336,17 @@
         behaviour == endpoint_behaviour::TruncatesResponse ? dispatch_outcome::Lost : dispatch_outcome::Complete);
 }
 
+void gateway_world::sendWithoutEnd(int daemon, int incarnation, dispatch_id dispatch, const std::string &piece)
+{
+    schedule(1ms, [=, this] {
+        if (m_activeDispatches.contains({daemon, dispatch})) {
+            endlessBytes += piece.size();
+            deliver(daemon, incarnation, response_chunk{dispatch, piece});
+            sendWithoutEnd(daemon, incarnation, dispatch, piece);
+        }
+    });
+}
+
 void gateway_world::on(int daemon, const cancel_dispatch &output)
 {
     m_activeDispatches.erase({daemon, output.dispatch});
--- a/src/gateway/testing/gateway_world.h
+++ b/src/gateway/testing/gateway_world.h
@@ -48,6 +48,13 @@
     Hangs, // Runs the request and never responds.
 };
 
+// A response whose body never ends: after the head the piece is sent each millisecond until the gateway cancels.
+struct endless_response
+{
+    std::string contentType;
+    std::string piece;
+};
+
 struct endpoint_run
 {
     std::string endpoint;
@@ -114,6 +121,8 @@
 
     std::map<int, store_behaviour> storeBehaviours; // By daemon.
     std::map<std::string, endpoint_behaviour> endpointBehaviours; // By id; Responds if missing.
+    std::map<std::string, endless_response> endlessResponses; // By endpoint id; precede the behaviour.
+    std::size_t endlessBytes = 0; // Sent in endless responses.
     std::set<std::string> unavailableTopics; // The store never replies to calls for these topics.
     std::set<std::pair<int, int>> blockedLinks; // Daemons (from, to).
     std::vector<endpoint_run> runs;
@@ -172,6 +181,7 @@
     void on(int daemon, const stop_process &output);
 
     void runAtEndpoint(int daemon, int incarnation, const start_dispatch &output);
+    void sendWithoutEnd(int daemon, int incarnation, dispatch_id dispatch, const std::string &piece);
     store::reply execute(const store::call &call);
     store::reply execute(const store::append_call &call);
     store::reply execute(const store::put_call &call);
--- a/src/gateway/turns.cc
+++ b/src/gateway/turns.cc
@@ -197,11 +197,16 @@
     mark->second = {offset, now};
 }
 
-std::uint32_t gateway::implementation::tokensDelivered(const request_context &context) const
+std::uint32_t gateway::implementation::tokensPerEvent(const request_context &context) const
 {
     const auto *service = context.table->findService(context.service);
     const bool known = service != nullptr && service->engine.has_value();
-    return context.eventCount * (known ? service->engine->tokensPerEvent : 1);
+    return known ? service->engine->tokensPerEvent : 1;
+}
+
+std::uint32_t gateway::implementation::tokensDelivered(const request_context &context) const
+{
+    return context.eventCount * tokensPerEvent(context);
 }
 
 } // namespace jackdawpick::gateway
