Count a body that goes on past the deadline against its endpoint

Callers saw: requests sent on to an endpoint whose bodies never end; each lasted until its deadline and was broken off.

That is right for one that has not begun to answer, since it may be full, and for streams, whose length the caller chooses. An endpoint that has begun another kind of response knows the deadline and stops at it if it is sound.

Change: such a response counts as a lost connection.

Test: endless_stream_test TheEndpointGetsFewerRequests, its second case: 20 of 20 requests reached the endpoint before (bound: less than 10).

--- a/src/gateway/endless_stream_test.cc
+++ b/src/gateway/endless_stream_test.cc
@@ -117,7 +117,8 @@
 TEST(EndlessStreams, TheEndpointGetsFewerRequests)
 {
     for (const auto &[contentType, piece] :
-         {std::pair<std::string, std::string>("text/event-stream", std::string(pieceBytes, 'a'))}) {
+         {std::pair<std::string, std::string>("text/event-stream", std::string(pieceBytes, 'a')),
+          std::pair<std::string, std::string>("text/plain", "a")}) {
         gateway_world world({.daemons = 1});
         world.warmUp();
         const bool stream = contentType == "text/event-stream";
--- a/src/gateway/requests.cc
+++ b/src/gateway/requests.cc
@@ -202,7 +202,10 @@
     }
     if (context.dispatch.has_value()) {
         m_effects.emplace_back(cancel_dispatch{*context.dispatch});
-        releaseEndpoint(context, fleet::request_outcome::Cancelled, now);
+        // An endpoint that knows the deadline and still sends a body is not sound. One that has not begun may be full.
+        const bool sendsOn = context.responseStarted && !context.eventStream;
+        releaseEndpoint(context, sendsOn ? fleet::request_outcome::ConnectionLost : fleet::request_outcome::Cancelled,
+                        now);
     }
     if (context.responseStarted) {
         m_effects.emplace_back(abort_response{context.id});
