Release the memory of large frames

Seen: a link kept the memory of the largest frame that it ever had, up to 16 MiB or twice that, for as long as it lasted.

Cause: the buffer of a frame cutter was emptied and not released.

Change: a buffer of more than 256 KiB is released when all its frames have been returned. bufferedBytes() tells what a cutter holds, for a bound over all links.

Test: framing_test MemoryOfALargeFrameIsReleased failed before: 20 links held bytes after one frame of 4 MiB each, bound.

--- a/src/framing/framing.cc
+++ b/src/framing/framing.cc
@@ -12,6 +12,8 @@
 {
 
 constexpr std::size_t lengthBytes = 4;
+// A larger buffer is released once its frames have been returned.
+constexpr std::size_t maxKeptBytes = 256U << 10U;
 
 std::uint32_t readLength(std::string_view bytes)
 {
@@ -39,7 +41,11 @@
 
 void frame_cutter::append(std::string_view bytes)
 {
-    m_buffer.erase(0, m_position);
+    if (m_position == m_buffer.size() && m_buffer.capacity() > maxKeptBytes) {
+        std::string().swap(m_buffer);
+    } else {
+        m_buffer.erase(0, m_position);
+    }
     m_position = 0;
     m_buffer.append(bytes);
 }
@@ -62,4 +68,9 @@
     return rest.substr(lengthBytes, length);
 }
 
+std::size_t frame_cutter::bufferedBytes() const
+{
+    return m_buffer.size() - m_position;
+}
+
 } // namespace jackdawpick::framing
--- a/src/framing/framing.h
+++ b/src/framing/framing.h
@@ -30,6 +30,7 @@
     // The next complete payload, valid until the next call of a member; nothing until more bytes arrive. Throws
     // error(MalformedRequest) if the length exceeds maxPayloadBytes; the cutter is then of no further use.
     [[nodiscard]] std::optional<std::string_view> next();
+    [[nodiscard]] std::size_t bufferedBytes() const; // Not yet returned by next().
 
 private:
     std::string m_buffer;
--- a/src/framing/framing_test.cc
+++ b/src/framing/framing_test.cc
@@ -1,6 +1,7 @@
 #include "framing/framing.h"
 
 #include "results/results.h"
+#include "testing/allocated_bytes.h"
 
 #include <gtest/gtest.h>
 
@@ -35,4 +36,24 @@
     EXPECT_THROW((void)encodeFrame(std::string(maxPayloadBytes + 1, 'x')), error);
 }
 
+// Guards against links that each keep the memory of the largest frame they ever had.
+TEST(Framing, MemoryOfALargeFrameIsReleased)
+{
+    constexpr std::size_t links = 20;
+    constexpr std::size_t payloadBytes = 4U << 20U;
+    const auto frame = encodeFrame(std::string(payloadBytes, 'a'));
+    std::vector<frame_cutter> cutters(links);
+    const testing::peak_allocation peak;
+    for (auto &cutter : cutters) {
+        cutter.append(frame);
+        EXPECT_EQ(cutter.bufferedBytes(), frame.size());
+        EXPECT_EQ(cutter.next().value().size(), payloadBytes);
+        EXPECT_EQ(cutter.bufferedBytes(), 0U);
+        cutter.append("b");
+        EXPECT_FALSE(cutter.next().has_value());
+        EXPECT_EQ(cutter.bufferedBytes(), 1U);
+    }
+    EXPECT_LT(peak.bytes(), 3 * payloadBytes);
+}
+
 } // namespace jackdawpick::framing
