--- a/standins/emulator/platform_emulator.cc
+++ b/standins/emulator/platform_emulator.cc
@@ -100,6 +100,11 @@
     for (int i = 0; i < m_options.services; ++i) {
         addEndpoint("shop", i, false);
     }
+    for (const auto &[id, service, address] : m_options.otherEndpoints) {
+        auto &which = *m_endpoints.emplace_back(std::make_unique<endpoint>());
+        which = {.id = id, .service = service, .address = address};
+        announce(which);
+    }
     publishConfiguration();
     m_loop.every(heartbeatInterval,
                  [this] { std::ranges::for_each(m_endpoints, [this](const auto &which) { announce(*which); }); });
--- a/standins/emulator/platform_emulator.h
+++ b/standins/emulator/platform_emulator.h
@@ -19,6 +19,14 @@
 namespace jackdawpick::standins
 {
 
+// An endpoint that the store lists and that something else serves.
+struct listed_endpoint
+{
+    std::string id;
+    std::string service; // "engines" or "shop".
+    std::string address;
+};
+
 struct emulator_options
 {
     std::string storeAddress = "127.0.0.1:0";
@@ -32,6 +40,7 @@
     std::chrono::milliseconds storeTime{4};
     double losesReply = 0; // Part of the appends that are executed without a reply.
     double losesAnswer = 0; // Part of the requests that endpoints run without an answer.
+    std::vector<listed_endpoint> otherEndpoints;
 };
 
 // What an endpoint was asked to run.
