Bound the incomplete frames of all peer links together

Seen: twelve links that each sent the beginning of a large frame made a daemon hold bytes; a host has 88 MB, and the limit of connections is in the thousands.

Cause: each link may hold one incomplete frame of 16 MiB, with no bound over all links.

Change: all links together may hold one frame of the largest size and 1 MiB more. Beyond that the link that holds the most is dropped, not the one that happens to receive, so that sound peers keep theirs.

--- a/src/gateway_daemon/framed_links.cc
+++ b/src/gateway_daemon/framed_links.cc
@@ -3,6 +3,10 @@
 #include "logging/logging.h"
 #include "results/results.h"
 
+#include <algorithm>
+#include <functional>
+#include <numeric>
+
 namespace jackdawpick
 {
 
@@ -11,6 +15,9 @@
 
 // Incoming links get even ids; the gateway gives odd ids to the links that it opens.
 constexpr std::uint64_t incomingIdStep = 2;
+// Bound of the incomplete frames of all links together: one frame of the largest size beside ordinary ones. Hosts have
+// little memory, and the number of incoming links has no bound that would help.
+constexpr std::size_t maxBufferedBytes = framing::maxPayloadBytes + (1U << 20U);
 
 } // namespace
 
@@ -80,6 +87,7 @@
         for (auto found = m_links.find(link); found != m_links.end(); found = m_links.find(link)) {
             const auto payload = found->second.frames.next();
             if (!payload.has_value()) {
+                boundBufferedBytes();
                 return;
             }
             auto message = peers::decodeMessage(*payload);
@@ -91,8 +99,30 @@
     } catch (const error &problem) {
         logging::write(log_level::Warning, "peer_message_invalid",
                        {{"link", static_cast<std::uint64_t>(link)}, {"reason", problem.what()}});
-        close({link});
-        m_onEvent(gateway::link_closed{link});
+        drop(link);
+    }
+}
+
+void framed_links::drop(gateway::link_id link)
+{
+    close({link});
+    m_onEvent(gateway::link_closed{link});
+}
+
+// Drops the links that hold the most, so that a peer which sends without end does not cost the others theirs.
+void framed_links::boundBufferedBytes()
+{
+    const auto bufferedOf = [](const auto &item) {
+        return item.second.frames.bufferedBytes();
+    };
+    const auto total = [&] {
+        return std::transform_reduce(m_links.begin(), m_links.end(), std::size_t{0}, std::plus<>(), bufferedOf);
+    };
+    while (total() > maxBufferedBytes) {
+        const auto largest = std::ranges::max_element(m_links, std::less<>(), bufferedOf);
+        logging::write(log_level::Warning, "peer_links_full",
+                       {{"link", static_cast<std::uint64_t>(largest->first)}, {"bytes", bufferedOf(*largest)}});
+        drop(largest->first);
     }
 }
 
--- a/src/gateway_daemon/framed_links.h
+++ b/src/gateway_daemon/framed_links.h
@@ -32,6 +32,8 @@
     [[nodiscard]] net::tcp_handlers handlersFor(gateway::link_id link);
     void onReceived(gateway::link_id link, std::string_view bytes);
     void onClosed(gateway::link_id link);
+    void drop(gateway::link_id link);
+    void boundBufferedBytes();
 
     net::loop &m_loop;
     std::function<void(gateway::event)> m_onEvent;
--- a/standins/emulator/endless_endpoint_test.cc
+++ b/standins/emulator/endless_endpoint_test.cc
@@ -1,4 +1,4 @@
-// A real daemon over loopback sockets, against endpoints and a store whose bytes never end.
+// A real daemon over loopback sockets, against endpoints, a store and peers whose bytes never end.
 
 #include "emulator/platform_emulator.h"
 #include "gateway_daemon/gateway_daemon.h"
@@ -343,4 +343,41 @@
 
 INSTANTIATE_TEST_SUITE_P(Shapes, endless_store_test, ::testing::ValuesIn(storeShapes), nameOfShape);
 
+// Guards against incomplete frames of many links that together exhaust the memory, and against dropping the links of
+// sound peers instead.
+TEST_F(endless_endpoint_test, PeersWithoutEndAreBounded)
+{
+    startPlatform({});
+    constexpr int links = 12;
+    constexpr std::size_t pieceBytes = 64U << 10U;
+    constexpr std::size_t bytesOfALink = 8U << 20U;
+    int closed = 0;
+    bool soundClosed = false;
+    const testing::peak_allocation peak;
+    const auto sound = loop.connectTcp(settings.peers, {.connected = {}, .received = {}, .closed = [&](net::stream_id) {
+                                                            soundClosed = true;
+                                                        }});
+    loop.send(sound, std::string("\0\0\1\0abc", 7)); // The beginning of a frame of 64 KiB.
+    std::vector<net::stream_id> streams;
+    for (int i = 0; i < links; ++i) {
+        streams.push_back(
+            loop.connectTcp(settings.peers, {.connected = {}, .received = {}, .closed = [&](net::stream_id) {
+                                                 ++closed;
+                                             }}));
+        loop.send(streams.back(), std::string("\0\0\xff\0", 4)); // A length of almost 16 MiB.
+    }
+    const std::string piece(pieceBytes, 'a');
+    for (std::size_t sent = 0; sent < bytesOfALink; sent += pieceBytes) {
+        std::ranges::for_each(streams, [&](auto stream) { loop.send(stream, piece); });
+        runFor(1ms);
+    }
+    send(std::string(platform_emulator::readPath), "a");
+    runUntilAllEnded();
+    EXPECT_EQ(calls.back()->result.status, 200);
+    EXPECT_GE(closed, links / 2);
+    EXPECT_FALSE(soundClosed);
+    EXPECT_LE(peak.bytes(), maxHeldBytes);
+    EXPECT_LE(longestGap, maxLoopGap);
+}
+
 } // namespace jackdawpick::standins
