--- a/src/gateway/turn_writes.cc
+++ b/src/gateway/turn_writes.cc
@@ -157,11 +157,16 @@
     finishRequest(context, internal::answeredOutcome, now);
 }
 
-std::uint32_t gateway::implementation::tokensDelivered(const request_context &context) const
+std::uint32_t gateway::implementation::tokensPerEvent(const request_context &context) const
 {
     const auto *service = context.table->findService(context.service);
     const bool known = service != nullptr && service->engine.has_value();
-    return context.eventCount * (known ? service->engine->tokensPerEvent : 1);
+    return known ? service->engine->tokensPerEvent : 1;
+}
+
+std::uint32_t gateway::implementation::tokensDelivered(const request_context &context) const
+{
+    return context.eventCount * tokensPerEvent(context);
 }
 
 } // namespace jackdawpick::gateway
--- a/src/net/internal/http_client.cc
+++ b/src/net/internal/http_client.cc
@@ -11,11 +11,14 @@
 namespace
 {
 
-constexpr std::uint32_t maxHeaderBytes = 32768;
 // Collected bodies are bounded by message_parser. The parser of Boost 1.74 refuses every Content-Length if it is given
 // no limit at all.
 constexpr std::uint64_t noLimit = std::numeric_limits<std::uint64_t>::max();
 constexpr std::size_t maxIdlePerAddress = 32;
+// Interim responses and late responses to other requests that one exchange reads past.
+constexpr unsigned maxSkippedResponses = 8;
+constexpr unsigned switchingProtocols = 101;
+constexpr unsigned firstUndefinedStatus = 600;
 // Part of the idle time announced by a server after which the connection is no longer used, since a request that
 // crosses the server's close may have run.
 constexpr double usedPartOfIdleTime = 0.6;
@@ -73,6 +76,7 @@
     m_parser = std::make_unique<message_parser<false>>();
     m_parser->header_limit(maxHeaderBytes);
     m_parser->body_limit(noLimit);
+    m_parser->maxCollected = m_request.maxCollectedBytes;
     m_parser->eager(true);
     m_parser->skip(m_request.method == "HEAD");
     m_skipping = false;
@@ -135,41 +139,61 @@
     const auto used = m_parser->put(boost::asio::const_buffer(m_input.data(), m_input.size()), failure);
     m_parser->eager(true);
     m_input.erase(0, used);
-    if (failure && failure != beast_http::error::need_more) {
+    passBody();
+    const bool tooLong = failure == beast_http::error::need_more && m_input.size() > maxHeaderBytes;
+    if (tooLong || (failure && failure != beast_http::error::need_more)) {
         finish(client_error::ConnectionLost);
         return false;
     }
-    if (!hadHeader && m_parser->is_header_done()) {
-        takeHead();
+    if (!hadHeader && m_parser->is_header_done() && !takeHead()) {
+        finish(client_error::ConnectionLost);
+        return false;
     }
     return used > 0;
 }
 
-void http_exchange::takeHead()
+// Returns false if the head is not one of a response to the request.
+bool http_exchange::takeHead()
 {
+    const auto status = static_cast<unsigned>(m_parser->status);
+    if (status < 100 || status == switchingProtocols || status >= firstUndefinedStatus) {
+        return false; // The client never asks for another protocol.
+    }
+    if (status / 100 == 1) {
+        return skipResponse(); // The final response follows.
+    }
     bool toHandler = m_handlers.onChunk && m_parser->status / 100 == 2;
     if (m_handlers.onHead) {
         answer_head head{.status = static_cast<std::uint16_t>(m_parser->status), .headers = m_parser->headers};
         if (const auto length = m_parser->content_length(); length) {
             head.contentLength = *length;
         }
-        m_skipping = m_handlers.onHead(head) == head_verdict::Skip;
-        toHandler = !m_skipping && m_handlers.onChunk != nullptr;
+        if (m_handlers.onHead(head) == head_verdict::Skip) {
+            return skipResponse();
+        }
+        toHandler = m_handlers.onChunk != nullptr;
     }
-    if (m_skipping) {
-        m_parser->sink = [](std::string_view) {
-        };
-    } else if (toHandler) {
+    if (toHandler) {
         m_parser->sink = [this](std::string_view part) {
-            passBody(part);
+            m_body += part;
         };
     }
+    return true;
 }
 
-void http_exchange::passBody(std::string_view bytes)
+bool http_exchange::skipResponse()
 {
-    if (m_link != nullptr) { // The handler may have cancelled after an earlier part.
-        m_handlers.onChunk(bytes);
+    m_skipping = true;
+    m_parser->sink = [](std::string_view) {
+    };
+    return ++m_skippedResponses <= maxSkippedResponses;
+}
+
+// Passes what one block of input held, since a call for each chunk would be slow if the server sends tiny ones.
+void http_exchange::passBody()
+{
+    if (!m_body.empty()) {
+        m_handlers.onChunk(std::exchange(m_body, {}));
     }
 }
 
@@ -292,6 +316,10 @@
 
 connection_ptr idle_connection::take()
 {
+    if (m_link->hasUnread()) {
+        m_link->close();
+        return nullptr;
+    }
     m_link->setEvents(nullptr);
     return std::move(m_link);
 }
@@ -360,8 +388,11 @@
     if (found == m_idle.end()) {
         return nullptr;
     }
-    connection_ptr link = found->second.back()->take();
-    found->second.pop_back();
+    connection_ptr link;
+    while (link == nullptr && !found->second.empty()) {
+        link = found->second.back()->take();
+        found->second.pop_back();
+    }
     if (found->second.empty()) {
         m_idle.erase(found);
     }
--- a/src/net/internal/http_client.h
+++ b/src/net/internal/http_client.h
@@ -43,8 +43,9 @@
     void resetParser();
     void parse();
     bool parseStep();
-    void takeHead();
-    void passBody(std::string_view bytes);
+    bool takeHead();
+    bool skipResponse();
+    void passBody();
     void complete();
     [[nodiscard]] std::chrono::milliseconds idleTime() const;
     void finish(client_error reason);
@@ -59,7 +60,9 @@
     std::uint64_t m_handedBefore = 0; // By earlier exchanges on the same connection.
     std::unique_ptr<message_parser<false>> m_parser;
     bool m_skipping = false; // The answer being read belongs to another request.
+    unsigned m_skippedResponses = 0;
     std::string m_input;
+    std::string m_body; // Parsed and not yet passed to the handler.
     timer m_timeout;
     timer m_silence;
     timer m_connecting;
@@ -71,6 +74,7 @@
 public:
     idle_connection(http_client &client, transport &owner, std::string address, connection_ptr link,
                     std::chrono::milliseconds idleTime);
+    // Null if the peer has sent bytes or has closed the connection; it must not be used then.
     connection_ptr take();
 
 private:
