Use an endpoint again that starts again under its old id

Callers saw refusals for lack of endpoints, and full engines, while an engine was up: a daemon that had once got a 421 under its id never sent it anything again.

Cause: markLeaving() sets a flag that nothing clears. An entry that is overwritten in place, by an engine that has started again or moved, updates the address but keeps the flag.

The flag is cleared when the entry has another address or time of start, or was removed. The same entry written again, as a leaving engine may still do, changes nothing.

--- a/src/fleet/endpoint_pool.cc
+++ b/src/fleet/endpoint_pool.cc
@@ -25,10 +25,14 @@
     evictRemoved(now);
     auto &value = m_endpoints[entry.id];
     const bool isChanged = value.entry != entry || value.removedAt.has_value();
-    if (value.entry.address != entry.address) {
+    const bool hasRestarted = value.entry.address != entry.address || value.entry.born != entry.born;
+    if (hasRestarted) {
         value.failures = 0;
         value.backoffUntil = {};
     }
+    if (hasRestarted || value.removedAt.has_value()) {
+        value.leaving = false;
+    }
     value.entry = entry;
     value.removedAt.reset();
     return isChanged;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -27,12 +27,13 @@
 
 struct endpoint_entry
 {
-    std::string id; // Differs after each restart of the endpoint.
+    std::string id; // An endpoint may start again under the id that it had.
     std::string service;
     std::string address; // "ip:port"
     std::string zone;
     std::uint32_t slots = 1; // Requests processed concurrently.
     bool draining = false;
+    std::uint64_t born = 0; // When the endpoint started, in milliseconds since the Unix epoch; 0 if unknown.
     bool operator==(const endpoint_entry &) const = default;
 };
 
@@ -94,7 +95,7 @@
     // Removes all endpoints that are not in `listed`.
     void keepOnly(const std::set<std::string> &listed, bool mayHaveExpired, time_point now);
     // Excludes an endpoint from selection after a response said that it is leaving or that another endpoint has its
-    // address.
+    // address, until an entry shows that it has started again or moved.
     void markLeaving(const std::string &id);
 
     // Limits this daemon's connections to each endpoint of the service to an equal share among `daemons`;
--- a/src/fleet/fleet_test.cc
+++ b/src/fleet/fleet_test.cc
@@ -55,6 +55,25 @@
     EXPECT_EQ(chosen(model), "");
 }
 
+// Guards against losing an endpoint for good that starts again under its old id, after another endpoint had used its
+// address for a while and had told so.
+TEST_F(fleet_test, EndpointThatStartsAgainIsUsedAgain)
+{
+    pool.remove("b", false, clock.now());
+    pool.markLeaving("a");
+    pool.upsert({.id = "a", .service = "llm", .address = "1:1", .zone = "z1", .slots = 2}, clock.now());
+    EXPECT_EQ(chosen(model), ""); // The same entry, written again.
+    pool.upsert({.id = "a", .service = "llm", .address = "1:9", .zone = "z1", .slots = 2}, clock.now());
+    EXPECT_EQ(chosen(model), "a");
+    pool.markLeaving("a");
+    pool.upsert({.id = "a", .service = "llm", .address = "1:9", .zone = "z1", .slots = 2, .born = 7}, clock.now());
+    EXPECT_EQ(chosen(model), "a");
+    pool.markLeaving("a");
+    pool.remove("a", false, clock.now());
+    pool.upsert({.id = "a", .service = "llm", .address = "1:9", .zone = "z1", .slots = 2, .born = 7}, clock.now());
+    EXPECT_EQ(chosen(model), "a");
+}
+
 // Guards against rejecting all requests when the entries of running endpoints expired because the store was
 // unavailable.
 TEST_F(fleet_test, ExpiredEntriesStayForTheGracePeriod)
