Write the settlements that are held before a shutdown ends

Callers got 402 for programs that were well within their budget, after a planned shutdown of the daemon that had decided on it.

Cause: settlements wait up to 0.5 s for a reservation to be written with, and a process that shuts down ends 0.25 s after its last own response, at the earliest 3.2 s after SIGTERM, without regard to them. A settlement that another daemon sent in that half second was lost, and its reservation counted at its most for good.

The process now counts unwritten records as open work. The bound of 7 s still holds: with the store down the process ends then.

--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -211,6 +211,7 @@
     void registerSelf(time_point now);
     void tickPeers(time_point now);
     void tickShutdown(time_point now);
+    [[nodiscard]] bool hasOpenWork() const;
     [[nodiscard]] std::optional<time_point> nextShutdownStep() const;
     [[nodiscard]] peers::heartbeat ownHeartbeat(time_point now) const;
     void updateStoreState(time_point now);
--- a/src/gateway/platform_state.cc
+++ b/src/gateway/platform_state.cc
@@ -488,6 +488,14 @@
     log(log_level::Info, "shutdown_began", {{"open_requests", m_requests.size()}});
 }
 
+// Whether requests are open, or settlements of requests of any daemon are not written yet: a reservation whose
+// settlement is lost counts at its most for good.
+bool gateway::implementation::hasOpenWork() const
+{
+    return !m_requests.empty()
+        || std::ranges::any_of(m_budgets, [](const auto &entry) { return entry.second.hasUnwrittenRecords(); });
+}
+
 // Returns only steps that are still to come: a time in the past would make the event loop spin.
 std::optional<time_point> gateway::implementation::nextShutdownStep() const
 {
@@ -497,7 +505,7 @@
     if (!m_idleClosed) {
         return *m_shutdownBegan + minShutdownTime - idleCloseLeadTime;
     }
-    if (m_requests.empty()) {
+    if (!hasOpenWork()) {
         return std::max(*m_shutdownBegan + minShutdownTime, m_lastRequestFinishedAt + lastResponseFlushTime);
     }
     return *m_shutdownBegan + m_options.shutdownTimeout;
@@ -513,7 +521,7 @@
         m_idleClosed = true;
         m_effects.emplace_back(close_idle_connections{});
     }
-    const bool idle = m_requests.empty() && now - m_lastRequestFinishedAt >= lastResponseFlushTime;
+    const bool idle = !hasOpenWork() && now - m_lastRequestFinishedAt >= lastResponseFlushTime;
     if ((elapsed >= minShutdownTime && idle) || elapsed >= m_options.shutdownTimeout) {
         m_stopped = true;
         log(log_level::Info, "shutdown_complete", {{"open_requests", m_requests.size()}});
