Share an endpoint's connections anew when daemons die

Callers got 503 for lack of endpoints from the last living daemon while its endpoints accepted more connections.

Cause: the share of each daemon was computed only when a heartbeat arrived. After the death of the last peer none arrives, so the survivor kept the share of one among several for good. With many peers the computation ran for every heartbeat.

The share is now computed when the number of living daemons differs from the one that it was computed for, on any event.

--- a/src/gateway/claims_test.cc
+++ b/src/gateway/claims_test.cc
@@ -63,4 +63,25 @@
     EXPECT_FALSE(world.isRunning(0));
 }
 
+// Guards against a daemon that keeps to the share of connections that it had when its peers were alive: it refused
+// requests although the endpoint accepted more connections.
+TEST(Claims, ConnectionsOfDeadDaemonsAreUsedByTheLastOne)
+{
+    gateway_world world({.daemons = 2, .shopEndpoints = 1});
+    world.warmUp();
+    auto limited = initialConfiguration();
+    limited.version = 2;
+    limited.services[1].maxConnections = 5; // Two connections for each of two daemons, four for a single one.
+    world.publish(limited);
+    world.runFor(3s);
+    world.kill(1);
+    world.runFor(3s);
+    std::vector<const caller_response *> responses;
+    for (int i = 0; i < 4; ++i) {
+        responses.push_back(&world.send(0, shopRequest("/pay/1", fmt::format("a{}", i))));
+    }
+    world.runFor(1s);
+    EXPECT_EQ(statusCount(responses, 200), 4);
+}
+
 } // namespace jackdawpick::gateway::testing
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -239,6 +239,7 @@
     std::chrono::milliseconds m_turnRetention{minTurnRetention};
     internal::store_access m_store;
     internal::peer_table m_peers;
+    std::size_t m_connectionSharers = 0; // Daemons among which the connections to an endpoint were last shared.
     std::array<internal::keyed_watch, 3> m_watches; // Indexed by internal::watch_id.
     time_point m_probeAt{};
     time_point m_registerAt{};
--- a/src/gateway/internal/peer_table.cc
+++ b/src/gateway/internal/peer_table.cc
@@ -159,6 +159,12 @@
     return result;
 }
 
+std::size_t peer_table::aliveCount(time_point now) const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_peers, [&](const auto &item) { return isAlive(item.second, now); }));
+}
+
 std::vector<std::string> peer_table::readyAddresses(time_point now) const
 {
     std::vector<std::string> addresses;
--- a/src/gateway/internal/peer_table.h
+++ b/src/gateway/internal/peer_table.h
@@ -49,6 +49,7 @@
 
     // Peers whose heartbeats are up to date.
     [[nodiscard]] std::vector<const peers::hello *> alive(time_point now) const;
+    [[nodiscard]] std::size_t aliveCount(time_point now) const;
     // Caller addresses of the live peers that accept requests.
     [[nodiscard]] std::vector<std::string> readyAddresses(time_point now) const;
     // An open link to a live peer that reaches the store directly; `randomFraction` in [0, 1) selects one of several.
--- a/src/gateway/platform_state.cc
+++ b/src/gateway/platform_state.cc
@@ -326,9 +326,9 @@
     if (m_table == nullptr) {
         return;
     }
-    const auto daemons = m_peers.alive(now).size() + 1;
+    m_connectionSharers = m_peers.aliveCount(now) + 1;
     for (const auto &service : m_table->source().services) {
-        m_pool.setConnectionLimit(service.name, service.maxConnections, daemons);
+        m_pool.setConnectionLimit(service.name, service.maxConnections, m_connectionSharers);
     }
 }
 
@@ -408,7 +408,6 @@
     } else if (const auto *heartbeat = std::get_if<peers::heartbeat>(&received.content)) {
         m_peers.onHeartbeat(received.link, *heartbeat, now);
         m_pool.setPeerLoads(m_peers.nameOf(received.link), heartbeat->loads, now);
-        applyConnectionLimits(now);
     } else if (const auto *runReports = std::get_if<peers::run_reports>(&received.content)) {
         std::ranges::for_each(runReports->reports, [&](const auto &report) { m_crashes.onReport(report, now); });
     } else if (const auto *request = std::get_if<peers::store_request>(&received.content)) {
@@ -443,6 +442,10 @@
 void gateway::implementation::tickPeers(time_point now)
 {
     m_peers.tick(ownHeartbeat(now), std::exchange(m_heartbeatDue, false), now, m_effects);
+    // Checked here rather than on a heartbeat: after the death of the last peer none arrives.
+    if (m_peers.aliveCount(now) + 1 != m_connectionSharers) {
+        applyConnectionLimits(now);
+    }
     if (auto reports = m_crashes.takeReports(); !reports.empty()) {
         m_peers.broadcast(peers::run_reports{std::move(reports)}, m_effects);
     }
@@ -468,7 +471,7 @@
 {
     const auto unwritten = unwrittenBudgetRecords();
     return {.openRequests = m_requests.size(),
-            .peersAlive = m_peers.alive(now).size(),
+            .peersAlive = m_peers.aliveCount(now),
             .endpointsKnown = m_pool.size(),
             .storeReachable = m_store.paths().isDirectPathUp(now),
             .storeFull = m_store.room().isFull(),
