Send one heartbeat for each new link

When all daemons start together, each new link made a daemon send its heartbeat, with its loads, to all peers: 3,160 messages for 79 peers, 250,000 for 80 daemons, in the second in which they read the store and serve their first requests.

Cause: an opened link made the heartbeat to all peers due at once, so that the new peer learns the state of this daemon. Only that peer needs it; it is now sent on this link behind the introduction.

PeerTable.NewLinkCausesOneHeartbeat counted 3,160 heartbeats for 79 links before and counts 79.

--- a/src/gateway/internal/peer_table.cc
+++ b/src/gateway/internal/peer_table.cc
@@ -43,7 +43,7 @@
     }
 }
 
-void peer_table::onOpened(const link_opened &received, time_point now, std::vector<effect> &out)
+void peer_table::onOpened(const link_opened &received, const peers::heartbeat &own, std::vector<effect> &out)
 {
     if (received.incoming) {
         m_incoming.emplace(received.link, std::string());
@@ -58,7 +58,7 @@
     found->second.open = true;
     found->second.reconnectDelay = initialReconnectDelay;
     out.emplace_back(send_message{received.link, m_self});
-    m_heartbeatAt = now; // Tell the peer the state of this daemon without waiting for the next interval.
+    out.emplace_back(send_message{received.link, own});
 }
 
 std::string peer_table::nameOf(link_id link) const
--- a/src/gateway/internal/peer_table.h
+++ b/src/gateway/internal/peer_table.h
@@ -32,7 +32,8 @@
     void addOrUpdate(const peers::hello &identity, time_point now);
     void remove(const std::string &name, std::vector<effect> &out);
 
-    void onOpened(const link_opened &received, time_point now, std::vector<effect> &out);
+    // Introduces this daemon on an outgoing link, with the heartbeat `own`, so that the peer knows its state at once.
+    void onOpened(const link_opened &received, const peers::heartbeat &own, std::vector<effect> &out);
     // The name of the peer on the link; empty if unknown.
     [[nodiscard]] std::string nameOf(link_id link) const;
     void onHello(link_id link, const peers::hello &identity, time_point now);
--- a/src/gateway/platform_state.cc
+++ b/src/gateway/platform_state.cc
@@ -399,6 +399,7 @@
     if (!received.incoming) {
         sendTurnMarks(received.link, now);
     }
+    m_peers.onOpened(received, ownHeartbeat(now), m_effects);
 }
 
 void gateway::implementation::on(const link_message &received, time_point now)
