--- a/src/gateway/platform_state.cc
+++ b/src/gateway/platform_state.cc
@@ -395,11 +395,10 @@
 
 void gateway::implementation::on(const link_opened &received, time_point now)
 {
-    m_peers.onOpened(received, now, m_effects);
+    m_peers.onOpened(received, ownHeartbeat(now), m_effects);
     if (!received.incoming) {
         sendTurnMarks(received.link, now);
     }
-    m_peers.onOpened(received, ownHeartbeat(now), m_effects);
 }
 
 void gateway::implementation::on(const link_message &received, time_point now)
