Delete turns only by the retention of a configuration that was read

A daemon that has restarted gets marks from its peers before it has read a configuration; with a route that retains turns longer than 60 s it would have deleted turns that are still promised. It now deletes nothing before it has read one, and uses the longest retention of the routes that were in force since its start, also if that is shorter than 60 s.

turns_test AreKeptForTheLongestRetentionOfTheRoutes (retention 150 s, one of two daemons restarted): with a constant of 60 s the turn gets 404 after 148 s; now 200, and all turns are deleted in the end.

--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -37,9 +37,6 @@
     using request_context = internal::request_context;
     using request_phase = internal::request_phase;
 
-    // Until a configuration with a longer one is in force.
-    static constexpr std::chrono::milliseconds minTurnRetention{60000};
-
     // The purpose of an append to, or a catch-up of, a partition.
     enum class ticket_use : std::uint8_t {
         History,
@@ -155,6 +152,8 @@
     void appendTurn(request_context &context, time_point now);
 
     // turn_trimming.cc
+    void updateTurnRetention(const routing::configuration &configuration);
+    [[nodiscard]] std::chrono::milliseconds turnRetention() const;
     [[nodiscard]] std::chrono::milliseconds checkpointAge() const;
     [[nodiscard]] std::chrono::milliseconds turnKeepTime() const;
     void markTurnAppend(const store::partition &where, std::uint64_t end, time_point now);
@@ -228,7 +227,7 @@
         m_turnHolders; // By turn: the daemon that has its text, and when that was reported.
     programs::turn_cache m_turns;
     // The longest retention of any route of the configurations that were in force since the start.
-    std::chrono::milliseconds m_turnRetention{minTurnRetention};
+    std::optional<std::chrono::milliseconds> m_longestRetention;
     internal::store_access m_store;
     internal::peer_table m_peers;
     std::array<internal::keyed_watch, 3> m_watches; // Indexed by internal::watch_id.
--- a/src/gateway/platform_state.cc
+++ b/src/gateway/platform_state.cc
@@ -304,11 +304,7 @@
     }
     log(log_level::Info, "configuration_applied",
         {{"version", decoded->version}, {"before", current}, {"routes", decoded->routes.size()}});
-    for (const auto &route : decoded->routes) {
-        if (route.retainsTurns) {
-            m_turnRetention = std::max(m_turnRetention, route.retention);
-        }
-    }
+    updateTurnRetention(*decoded);
     m_table = std::make_shared<const routing::route_table>(std::move(*decoded));
     m_heartbeatDue = true;
     applyConnectionLimits(now);
--- a/src/gateway/turn_trimming.cc
+++ b/src/gateway/turn_trimming.cc
@@ -23,6 +23,8 @@
 // A turn is retained from the end of its response, at most 1.8 s after its record was written; a request that continues
 // it may read it for 1.2 s. The rest covers delays of the events between these.
 constexpr milliseconds keepMargin{5000};
+// If no route states one.
+constexpr milliseconds defaultRetention{60000};
 constexpr std::size_t trimmersPerPartition = 3;
 // How long a daemon leaves a deletion to each of those ranked before it.
 constexpr milliseconds trimDelayPerRank{10000};
@@ -30,15 +32,30 @@
 
 } // namespace
 
+// Turns of a route that has a shorter retention now, or is gone, keep the one that they were promised.
+void gateway::implementation::updateTurnRetention(const routing::configuration &configuration)
+{
+    for (const auto &route : configuration.routes) {
+        if (route.retainsTurns && route.retention > milliseconds(0)) {
+            m_longestRetention = std::max(m_longestRetention.value_or(route.retention), route.retention);
+        }
+    }
+}
+
+milliseconds gateway::implementation::turnRetention() const
+{
+    return m_longestRetention.value_or(defaultRetention);
+}
+
 milliseconds gateway::implementation::checkpointAge() const
 {
-    return m_turnRetention / checkpointAgeDivisor;
+    return turnRetention() / checkpointAgeDivisor;
 }
 
 // The time after which no retained turn depends on a record.
 milliseconds gateway::implementation::turnKeepTime() const
 {
-    return m_turnRetention + checkpointAge() + keepMargin;
+    return turnRetention() + checkpointAge() + keepMargin;
 }
 
 // Tells the daemons that delete the records of a partition that all records before `end` exist.
@@ -108,7 +125,8 @@
 
 void gateway::implementation::trimDuePartitions(time_point now)
 {
-    if (m_marks.empty() || m_trimCheckAt > now) {
+    // Without a configuration the retention is not known; peers may have given this daemon marks already.
+    if (m_marks.empty() || m_table == nullptr || m_trimCheckAt > now) {
         return;
     }
     m_trimCheckAt = now + trimCheckInterval;
@@ -124,7 +142,7 @@
 
 std::optional<time_point> gateway::implementation::nextTrimCheck() const
 {
-    return m_marks.empty() ? std::nullopt : std::optional(m_trimCheckAt);
+    return m_marks.empty() || m_table == nullptr ? std::nullopt : std::optional(m_trimCheckAt);
 }
 
 void gateway::implementation::complete(const internal::trim_owner &owner, const store::reply &result, time_point now)
--- a/src/gateway/turns_test.cc
+++ b/src/gateway/turns_test.cc
@@ -262,4 +262,27 @@
     EXPECT_LE(world.recordCount("turns"), 88U); // Those of 87 s.
 }
 
+// Guards against a retention that is a constant: turns of a route with a longer one would be deleted too early.
+TEST(Turns, AreKeptForTheLongestRetentionOfTheRoutes)
+{
+    gateway_world world({.daemons = 2, .eventInterval = 2ms, .parts = 1, .turnTopics = 1});
+    auto configuration = initialConfiguration();
+    configuration.version = 2;
+    configuration.routes.front().retention = 150s;
+    world.publish(configuration);
+    world.warmUp();
+    ASSERT_TRUE(world.sendAndWait(0, modelTurn("p", "a")).complete);
+    for (int i = 0; i < 48; ++i) {
+        ASSERT_TRUE(world.sendAndWait(i % 2, modelTurn("q", fmt::format("u{}", i), 1000000)).complete);
+        world.runFor(2s);
+    }
+    world.kill(0);
+    world.start(0);
+    world.warmUp();
+    ASSERT_EQ(world.sendAndWait(0, modelTurn("p", "b", 1000, "a")).status, 200); // 148 s after a.
+    EXPECT_EQ(world.recordCount("turns"), 50U);
+    world.runFor(200s);
+    EXPECT_EQ(world.recordCount("turns"), 0U); // All are older than 150 s, a sixth of it, 5 s, and the 10 s of merging.
+}
+
 } // namespace jackdawpick::gateway::testing
