Repeat a read of a record that the store cut off

Records of a chain are read with the size of the record as a limit. Should a store count that size differently, for example with more bytes around a record, the reply ends before the record and the turn would be refused with 503 at every attempt. The limit is also computed with 1,000 bytes a kilobyte, which is enough for either meaning of the unit.

--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -132,6 +132,8 @@
     void onHistoryPartitionRead(request_context &context, bool readToEnd, time_point now);
     void readChain(request_context &context, std::vector<programs::turn_location> places, time_point now);
     void readTurn(const request_context &context, std::size_t index, time_point now);
+    [[nodiscard]] static bool canRepeatRead(const request_context &context, std::size_t index,
+                                            const store::reply &result, time_point now);
     void onTurnRead(request_context &context, std::size_t index, const store::reply &result, time_point now);
     void onTurnDelivered(programs::turn turn, const programs::turn_location &location, time_point now);
     void useHistory(request_context &context, std::string history, programs::turn_chain chain, time_point now);
--- a/src/gateway/internal/request_context.h
+++ b/src/gateway/internal/request_context.h
@@ -29,6 +29,7 @@
     std::vector<programs::turn_location> places; // Oldest first.
     std::vector<std::optional<programs::turn>> records; // By place; unset until read.
     unsigned failures = 0; // Failed reads of any of the records.
+    bool bounded = true; // Reads ask for the size of their record; unset if the store cut one off.
 };
 
 // A part of the history that is written again.
--- a/src/gateway/testing/gateway_world.cc
+++ b/src/gateway/testing/gateway_world.cc
@@ -432,7 +432,8 @@
     std::size_t bytes = 0;
     for (auto i = std::min<std::size_t>(call.from, records.size()); i < records.size(); ++i) {
         bytes += recordPrefixBytes + records[i].value.size();
-        if (bytes > std::size_t{call.maxKilobytes} * bytesPerKilobyte) {
+        if (bytes + (isOfTurns(call.where) ? readOverheadBytes : 0)
+            > std::size_t{call.maxKilobytes} * bytesPerKilobyte) {
             break;
         }
         result.records.push_back(records[i]);
--- a/src/gateway/testing/gateway_world.h
+++ b/src/gateway/testing/gateway_world.h
@@ -126,6 +126,7 @@
     std::set<std::pair<int, int>> blockedLinks; // Daemons (from, to).
     std::vector<endpoint_run> runs;
     std::vector<std::string> cancelledAttempts; // Attempts that a gateway cancelled at an endpoint.
+    std::size_t readOverheadBytes = 0; // The store takes these off the size that a read of turns asks for.
     int storeCalls = 0;
     std::map<std::string_view, int> storeCallCounts; // By the name of the call.
     std::size_t appendedBytes = 0; // By all appends to topics of turns.
--- a/src/gateway/turns.cc
+++ b/src/gateway/turns.cc
@@ -23,8 +23,8 @@
 constexpr milliseconds peerTurnTimeout{60};
 // Failed reads that are repeated for one request; a store that loses a third of its replies fails some of a chain.
 constexpr unsigned maxFailedTurnReads = 8;
-// A read of one record asks for its size, rounded up, and for the bytes around it.
-constexpr std::uint32_t bytesPerKilobyte = 1024;
+// A read of one record asks for its size and for the bytes around it, rounded up; a record that is cut off is not read.
+constexpr std::uint32_t bytesPerKilobyte = 1000;
 constexpr std::uint32_t readKilobytesReserve = 2;
 constexpr std::string_view turnTopicPrefix = "turns";
 
@@ -154,11 +154,23 @@
 void gateway::implementation::readTurn(const request_context &context, std::size_t index, time_point now)
 {
     const auto &place = context.historyRead->places.at(index);
-    startStoreCall(internal::turn_read_owner{context.id, index},
-                   store::read_call{.where = {fmt::format("{}-{}", turnTopicPrefix, place.topic), place.part},
-                                    .from = place.offset,
-                                    .maxKilobytes = place.bytes / bytesPerKilobyte + readKilobytesReserve},
-                   now);
+    store::read_call call{.where = {fmt::format("{}-{}", turnTopicPrefix, place.topic), place.part},
+                          .from = place.offset};
+    if (context.historyRead->bounded) {
+        call.maxKilobytes = place.bytes / bytesPerKilobyte + readKilobytesReserve;
+    }
+    startStoreCall(internal::turn_read_owner{context.id, index}, std::move(call), now);
+}
+
+// A reply without records although the partition goes on has been cut off.
+bool gateway::implementation::canRepeatRead(const request_context &context, std::size_t index,
+                                            const store::reply &result, time_point now)
+{
+    const auto &read = *context.historyRead;
+    const auto *found = std::get_if<store::records_read>(&result);
+    const bool cutOff = found != nullptr && found->records.empty() && found->end > read.places.at(index).offset;
+    return (cutOff || std::holds_alternative<store::failure>(result)) && read.failures < maxFailedTurnReads
+        && millisecondsBetween(context.arrived, now) < historyTimeout;
 }
 
 // Handles the reply to a read of one record of a chain.
@@ -177,9 +189,9 @@
     auto *turn = record.has_value() ? std::get_if<programs::turn>(&*record) : nullptr;
     if (turn != nullptr) {
         read->records.at(index) = std::move(*turn);
-    } else if (std::holds_alternative<store::failure>(result) && read->failures < maxFailedTurnReads
-               && millisecondsBetween(context.arrived, now) < historyTimeout) {
+    } else if (canRepeatRead(context, index, result, now)) {
         ++read->failures;
+        read->bounded = read->bounded && found == nullptr;
         readTurn(context, index, now);
         return;
     } else {
--- a/src/gateway/turns_test.cc
+++ b/src/gateway/turns_test.cc
@@ -125,6 +125,18 @@
     }
 }
 
+// Guards against a turn that is refused because the store counts the size of a reply differently and cuts a record off.
+TEST(Turns, RecordsThatAreCutOffAreReadWhole)
+{
+    gateway_world world({.daemons = 1, .eventInterval = 2ms});
+    world.warmUp();
+    const auto history = runChain(world, 4, 20000, 1);
+    restartAll(world, 1);
+    world.readOverheadBytes = 5000;
+    EXPECT_EQ(world.sendAndWait(0, longTurn("q", "next", "t3", 1000)).status, 200);
+    EXPECT_EQ(world.runs.back().body.substr(0, history.size()), history);
+}
+
 // Guards against a turn that is refused because one of the reads of its chain got no reply.
 TEST(Turns, LostReadsOfAChainAreRepeated)
 {
