--- a/src/gateway/internal/trim_marks.cc
+++ b/src/gateway/internal/trim_marks.cc
@@ -66,9 +66,9 @@
 std::vector<trim_marks::held_mark> trim_marks::all() const
 {
     std::vector<held_mark> result;
-    for (const auto &[where, marks] : m_marks) {
-        std::ranges::transform(marks, std::back_inserter(result), [&where](const mark &entry) {
-            return held_mark{where, entry.end, entry.last};
+    for (const auto &entry : m_marks) {
+        std::ranges::transform(entry.second, std::back_inserter(result), [&entry](const mark &held) {
+            return held_mark{entry.first, held.end, held.last};
         });
     }
     return result;
--- a/src/gateway/turn_trimming.cc
+++ b/src/gateway/turn_trimming.cc
@@ -7,7 +7,6 @@
 #include "gateway/internal/implementation.h"
 
 #include <algorithm>
-#include <ranges>
 
 namespace jackdawpick::gateway
 {
@@ -69,8 +68,9 @@
 
 void gateway::implementation::tellTrimmers(const peers::turn_mark &mark, time_point now)
 {
-    const auto names = rankedDeciders(mark.where, now);
-    for (const auto &name : names | std::views::take(trimmersPerPartition)) {
+    auto names = rankedDeciders(mark.where, now);
+    names.resize(std::min(names.size(), trimmersPerPartition));
+    for (const auto &name : names) {
         if (name == m_options.self.name) {
             applyTurnMark(mark, now);
         } else if (const auto link = m_peers.linkTo(name); link.has_value()) {
