--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -37,9 +37,6 @@
     using request_context = internal::request_context;
     using request_phase = internal::request_phase;
 
-    // Until a configuration with a longer one is in force.
-    static constexpr std::chrono::milliseconds minTurnRetention{60000};
-
     // The purpose of an append to, or a catch-up of, a partition.
     enum class ticket_use : std::uint8_t {
         History,
@@ -140,6 +137,8 @@
     void onHistoryPartitionRead(request_context &context, bool readToEnd, time_point now);
     void readChain(request_context &context, std::vector<programs::turn_location> places, time_point now);
     void readTurn(const request_context &context, std::size_t index, time_point now);
+    [[nodiscard]] static bool canRepeatRead(const request_context &context, std::size_t index,
+                                            const store::reply &result, time_point now);
     void onTurnRead(request_context &context, std::size_t index, const store::reply &result, time_point now);
     void onTurnDelivered(programs::turn turn, const programs::turn_location &location, time_point now);
     void useHistory(request_context &context, std::string history, programs::turn_chain chain, time_point now);
@@ -161,6 +160,8 @@
     void appendTurn(request_context &context, time_point now);
 
     // turn_trimming.cc
+    void updateTurnRetention(const routing::configuration &configuration);
+    [[nodiscard]] std::chrono::milliseconds turnRetention() const;
     [[nodiscard]] std::chrono::milliseconds checkpointAge() const;
     [[nodiscard]] std::chrono::milliseconds turnKeepTime() const;
     void markTurnAppend(const store::partition &where, std::uint64_t end, time_point now);
@@ -236,7 +237,7 @@
         m_turnHolders; // By turn: the daemon that has its text, and when that was reported.
     programs::turn_cache m_turns;
     // The longest retention of any route of the configurations that were in force since the start.
-    std::chrono::milliseconds m_turnRetention{minTurnRetention};
+    std::optional<std::chrono::milliseconds> m_longestRetention;
     internal::store_access m_store;
     internal::peer_table m_peers;
     std::size_t m_connectionSharers = 0; // Daemons among which the connections to an endpoint were last shared.
