Read a response no faster than its caller takes it

Cause: the daemon reads up to 1 MiB from an endpoint in one turn of the loop and writes none of it meanwhile; a caller with more than 1 MiB unsent is dropped.

Change: beyond 256 KiB unsent the daemon stops reading from the endpoint until the caller has taken them, so that the endpoint waits. The deadline of the request goes on. Reading is resumed before a connection is kept for other requests. The bound of 1 MiB stays as a safeguard.

--- a/src/gateway_daemon/gateway_daemon.cc
+++ b/src/gateway_daemon/gateway_daemon.cc
@@ -23,6 +23,8 @@
 // because the hosts have little memory.
 constexpr std::size_t maxBufferedBodyBytes = 24U << 20U;
 constexpr std::size_t maxUnsentResponseBytes = 1U << 20U;
+// While more of a response is unsent, no more of it is read from the endpoint.
+constexpr std::size_t maxUnsentWhileReading = 256U << 10U;
 // Longer than any caller keeps an idle connection open.
 constexpr seconds callerKeepAliveTimeout{60};
 constexpr seconds requestReadTimeout{10};
@@ -106,6 +108,7 @@
     void listenForMetrics();
     void respond(net::request_id id, const platform::text_response &response);
     void updateGauges();
+    void pauseIfCongested(gateway::dispatch_id dispatch);
     void countStoreCall(const store::call &call, const store::reply &reply, time_point startedAt);
 
     void execute(gateway::start_response &effect);
@@ -137,6 +140,8 @@
     framed_links m_links;
     metrics_registry m_metrics;
     std::map<gateway::dispatch_id, net::client_id> m_dispatches;
+    std::optional<net::request_id> m_congested; // The response that the last event has filled up.
+    std::map<net::request_id, net::client_id> m_paused; // Exchanges that wait for their caller.
 };
 
 gateway_daemon::gateway_daemon(net::loop &loop, const clock_source &clock, gateway_settings settings)
@@ -185,7 +190,13 @@
             handleEvent(gateway::request_arrived{caller, platform::decodeRequest(std::move(request))});
         },
         [this](net::request_id id) {
+            m_paused.erase(id);
             handleEvent(gateway::caller_disconnected{gateway::caller_id{static_cast<std::uint64_t>(id)}});
+        },
+        [this](net::request_id id) {
+            if (const auto node = m_paused.extract(id)) {
+                m_loop.pauseReceiving(node.mapped(), false);
+            }
         });
 }
 
@@ -261,16 +272,22 @@
 
 void gateway_daemon::implementation::execute(const gateway::response_bytes &effect)
 {
-    m_loop.writeStream(requestOf(effect.caller), effect.bytes);
+    const auto id = requestOf(effect.caller);
+    m_loop.writeStream(id, effect.bytes);
+    if (m_loop.bufferedBytes(id) > maxUnsentWhileReading) {
+        m_congested = id;
+    }
 }
 
 void gateway_daemon::implementation::execute(const gateway::end_response &effect)
 {
+    m_paused.erase(requestOf(effect.caller));
     m_loop.endStream(requestOf(effect.caller));
 }
 
 void gateway_daemon::implementation::execute(const gateway::abort_response &effect)
 {
+    m_paused.erase(requestOf(effect.caller));
     m_loop.abort(requestOf(effect.caller));
 }
 
@@ -290,7 +307,9 @@
             handleEvent(gateway::dispatch_finished{dispatch, outcomeOf(result)});
         },
         [this, dispatch](std::string_view bytes) {
+            m_congested.reset();
             handleEvent(gateway::response_chunk{dispatch, std::string(bytes)});
+            pauseIfCongested(dispatch);
         },
         [this, dispatch, attempt](const net::answer_head &head) {
             const auto verdict = platform::checkAttempt(head, attempt);
@@ -302,6 +321,16 @@
     m_dispatches.emplace(dispatch, client);
 }
 
+// Stops reading from the endpoint while the caller takes its response more slowly than the endpoint sends it.
+void gateway_daemon::implementation::pauseIfCongested(gateway::dispatch_id dispatch)
+{
+    const auto found = m_dispatches.find(dispatch);
+    if (m_congested.has_value() && found != m_dispatches.end()) {
+        m_loop.pauseReceiving(found->second, true);
+        m_paused.insert_or_assign(*m_congested, found->second);
+    }
+}
+
 void gateway_daemon::implementation::execute(const gateway::cancel_dispatch &effect)
 {
     if (const auto node = m_dispatches.extract(effect.dispatch)) {
--- a/src/net/internal/http_client.cc
+++ b/src/net/internal/http_client.cc
@@ -204,6 +204,7 @@
     if (reusable) {
         auto link = m_link;
         link->setEvents(nullptr);
+        link->pauseReading(false);
         m_client.keep(m_request.address, std::move(link), idleTime());
     } else {
         m_link->close();
@@ -267,6 +268,13 @@
     }
 }
 
+void http_exchange::pause(bool paused)
+{
+    if (m_link != nullptr) {
+        m_link->pauseReading(paused);
+    }
+}
+
 void http_exchange::finish(client_error reason)
 {
     if (!m_handlers.onResult) {
@@ -382,6 +390,13 @@
     }
 }
 
+void http_client::pause(client_id id, bool paused)
+{
+    if (const auto found = m_exchanges.find(static_cast<std::uint64_t>(id)); found != m_exchanges.end()) {
+        found->second->pause(paused);
+    }
+}
+
 connection_ptr http_client::takeIdle(const std::string &address)
 {
     const auto found = m_idle.find(address);
--- a/src/net/internal/http_client.h
+++ b/src/net/internal/http_client.h
@@ -31,6 +31,7 @@
     void start(connection_ptr link);
     void fail(client_error reason);
     void cancel();
+    void pause(bool paused);
 
 private:
     void onOpen() override;
@@ -95,6 +96,7 @@
 
     client_id request(client_request request, exchange_handlers handlers);
     void cancel(client_id id);
+    void pause(client_id id, bool paused);
 
 private:
     friend class http_exchange;
--- a/src/net/internal/http_server.cc
+++ b/src/net/internal/http_server.cc
@@ -276,6 +276,8 @@
     m_writeTimer.stop();
     if (m_phase == phase::Closing) {
         m_writeTimer.start(closingTime);
+    } else if (m_request != 0 && m_server.m_drained) {
+        m_server.m_drained(request_id{m_request});
     }
 }
 
@@ -318,13 +320,15 @@
 }
 
 http_server::http_server(transport &owner, open_requests &requests, loop_counters &counters, listen_options options,
-                         std::function<void(http_request)> handler, std::function<void(request_id)> disconnected)
+                         std::function<void(http_request)> handler, std::function<void(request_id)> disconnected,
+                         std::function<void(request_id)> drained)
     : m_transport(owner)
     , m_requests(requests)
     , m_counters(counters)
     , m_options(std::move(options))
     , m_handler(std::move(handler))
     , m_disconnected(std::move(disconnected))
+    , m_drained(std::move(drained))
     , m_port(owner.listen(m_options.address, m_options.port, [this](connection_ptr link) { accept(std::move(link)); }))
 {
 }
--- a/src/net/internal/http_server.h
+++ b/src/net/internal/http_server.h
@@ -84,7 +84,8 @@
 {
 public:
     http_server(transport &owner, open_requests &requests, loop_counters &counters, listen_options options,
-                std::function<void(http_request)> handler, std::function<void(request_id)> disconnected);
+                std::function<void(http_request)> handler, std::function<void(request_id)> disconnected,
+                std::function<void(request_id)> drained);
     [[nodiscard]] std::uint16_t port() const;
     void closeAfterAnswers(bool idleToo);
 
@@ -98,6 +99,7 @@
     listen_options m_options;
     std::function<void(http_request)> m_handler;
     std::function<void(request_id)> m_disconnected;
+    std::function<void(request_id)> m_drained;
     std::unordered_map<const http_session *, std::shared_ptr<http_session>> m_sessions;
     std::size_t m_bodyBytes = 0; // Of all incomplete requests.
     std::uint16_t m_port = 0;
--- a/src/net/internal/transport.cc
+++ b/src/net/internal/transport.cc
@@ -210,6 +210,13 @@
     return m_closed || ::recv(m_socket, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) >= 0 || errno != EAGAIN;
 }
 
+void connection::pauseReading(bool paused)
+{
+    if (!m_closed && std::exchange(m_paused, paused) != paused) {
+        lws_rx_flow_control(m_wsi, paused ? 0 : 1);
+    }
+}
+
 bool connection::onReadable()
 {
     if (!checkOpened()) {
@@ -217,7 +224,7 @@
     }
     // Filled below as far as it is read.
     static thread_local std::array<char, receiveChunk> buffer;
-    for (std::size_t taken = 0; taken < maxReceivedPerTurn && !m_closed;) {
+    for (std::size_t taken = 0; taken < maxReceivedPerTurn && !m_closed && !m_paused;) {
         const auto count = ::recv(m_socket, buffer.data(), buffer.size(), 0);
         if (count < 0) {
             return errno == EAGAIN || errno == EINTR;
--- a/src/net/internal/transport.h
+++ b/src/net/internal/transport.h
@@ -92,6 +92,8 @@
     [[nodiscard]] bool endedByPeer() const;
     // The peer has sent bytes or has closed the connection, and no event has reported it yet.
     [[nodiscard]] bool hasUnread() const;
+    // While reading is paused, the bytes of the peer stay in the kernel, which makes the peer wait.
+    void pauseReading(bool paused);
     // No further event; the socket is closed in the next turn of the loop.
     void close();
     // Ends the own direction once all queued bytes are written; the peer still sees them.
@@ -111,6 +113,7 @@
     bool m_open;
     bool m_closed = false;
     bool m_finish = false;
+    bool m_paused = false;
     bool m_ended = false;
     std::deque<std::string> m_queue;
     std::size_t m_offset = 0; // Written bytes of the first entry.
--- a/src/net/net.cc
+++ b/src/net/net.cc
@@ -41,10 +41,11 @@
 loop::~loop() = default;
 
 std::uint16_t loop::listenHttp(const listen_options &options, std::function<void(http_request)> handler,
-                               std::function<void(request_id)> disconnected)
+                               std::function<void(request_id)> disconnected, std::function<void(request_id)> drained)
 {
-    auto server = std::make_unique<internal::http_server>(m_impl->transport, m_impl->requests, m_impl->counters,
-                                                          options, std::move(handler), std::move(disconnected));
+    auto server =
+        std::make_unique<internal::http_server>(m_impl->transport, m_impl->requests, m_impl->counters, options,
+                                                std::move(handler), std::move(disconnected), std::move(drained));
     return m_impl->servers.emplace_back(std::move(server))->port();
 }
 
@@ -106,6 +107,11 @@
     m_impl->client.cancel(id);
 }
 
+void loop::pauseReceiving(client_id id, bool paused)
+{
+    m_impl->client.pause(id, paused);
+}
+
 std::uint16_t loop::listenTcp(const listen_options &options, tcp_handlers handlers)
 {
     return m_impl->streams.listen(options, std::move(handlers));
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -140,8 +140,10 @@
 
     // Returns the port. Throws error(SettingsInvalid) if the address cannot be bound. `disconnected` is called once if
     // the client goes away before the answer is complete; a client that only ends its sending direction counts as gone.
+    // `drained` is called whenever all written bytes of an incomplete answer have been handed to the kernel.
     std::uint16_t listenHttp(const listen_options &options, std::function<void(http_request)> handler,
-                             std::function<void(request_id)> disconnected = {});
+                             std::function<void(request_id)> disconnected = {},
+                             std::function<void(request_id)> drained = {});
     // Complete answer. Ignored if the client has gone.
     void respond(request_id id, const http_head &head, const std::string &body);
     // Streamed answer: head, any number of writes, end. With a content length, the writes must add up to it.
@@ -162,6 +164,8 @@
                       head_handler onHead = {});
     // Closes the connection of the request; its handlers are not called any more.
     void cancel(client_id id);
+    // Stops or resumes reading the answer; its sender has to wait meanwhile. The timeout of the request goes on.
+    void pauseReceiving(client_id id, bool paused);
 
     std::uint16_t listenTcp(const listen_options &options, tcp_handlers handlers);
     // `closed` is called if the connection cannot be made.
--- a/standins/emulator/endless_endpoint_test.cc
+++ b/standins/emulator/endless_endpoint_test.cc
@@ -121,6 +121,7 @@
         std::string body;
         milliseconds took{};
         bool ended = false;
+        std::size_t received = 0; // Bytes of the body.
     };
 
     endless_endpoint_test()
@@ -186,6 +187,7 @@
             },
             [&sent](std::string_view bytes) {
                 constexpr std::size_t kept = 4096;
+                sent.received += bytes.size();
                 sent.body += bytes.substr(0, kept - std::min(kept, sent.body.size()));
             });
     }
@@ -380,4 +382,28 @@
     EXPECT_LE(longestGap, maxLoopGap);
 }
 
+// Guards against breaking off a large response because the endpoint sends it faster than the caller takes it.
+TEST_F(endless_endpoint_test, ALargeResponseArrivesWhole)
+{
+    constexpr std::size_t bytes = 6U << 20U;
+    constexpr int count = 20;
+    const auto head = fmt::format("{}Connection: close\r\nContent-Length: {}\r\n\r\n", okHead, bytes);
+    const testing::endless_sender shop({.beginning = head + std::string(bytes, 'a'), .repeated = ""});
+    startPlatform({{"shop-endless", "shop", shop.address()}});
+    const testing::peak_allocation peak;
+    for (int i = 0; i < count; ++i) {
+        send(std::string(platform_emulator::payPath), fmt::format("pay-{}", i));
+        runFor(50ms);
+    }
+    runUntilAllEnded();
+    EXPECT_GT(shop.connections(), 0);
+    for (const auto &sent : calls) {
+        EXPECT_EQ(sent->result.error, net::client_error::None) << sent->attempt;
+        EXPECT_EQ(sent->result.status, 200);
+        EXPECT_EQ(sent->received, shop.received(sent->attempt + "\r\n") ? bytes : sent->body.size());
+    }
+    EXPECT_LE(peak.bytes(), maxHeldBytes);
+    EXPECT_LE(longestGap, maxLoopGap);
+}
+
 } // namespace jackdawpick::standins
