Test that a settlement is written after its decider has died

Callers got 402 after the death of the daemon that had decided on their program's budget while a turn was under way: the daemon that ran the turn kept the settlement, did not read the partition and therefore never wrote it.

This adds the case with several daemons: three daemons, 24 programs, one of the two deciders is killed in the middle of the turns and the next turns go to the third one.

--- a/src/gateway/claims_test.cc
+++ b/src/gateway/claims_test.cc
@@ -63,6 +63,34 @@
     EXPECT_FALSE(world.isRunning(0));
 }
 
+// Guards against a program that is denied its budget because the daemon that decided on it died under a turn: the daemon
+// that ran the turn kept the settlement and never wrote it, since it did not decide on this partition itself.
+TEST(Claims, SettlementIsWrittenIfTheDeciderDies)
+{
+    constexpr int programs = 24;
+    constexpr std::uint32_t budget = 100; // The 30 tokens of one turn and the 60 that the next one reserves fit.
+    for (const int decider : {1, 2}) {
+        gateway_world world({.daemons = 3, .engineEndpoints = 10, .eventInterval = 300ms});
+        world.warmUp();
+        std::vector<const caller_response *> first;
+        for (int i = 0; i < programs; ++i) {
+            first.push_back(&world.send(0, modelTurn(fmt::format("p{}", i), fmt::format("a{}", i), budget)));
+        }
+        world.runFor(300ms);
+        world.kill(decider); // Has decided on a part of the programs.
+        world.runFor(4s);
+        ASSERT_EQ(statusCount(first, 200), programs);
+        std::vector<const caller_response *> second;
+        for (int i = 0; i < programs; ++i) {
+            second.push_back(
+                &world.send(3 - decider, modelTurn(fmt::format("p{}", i), fmt::format("b{}", i), budget)));
+        }
+        world.runFor(3s);
+        EXPECT_EQ(statusCount(second, 402), 0);
+        EXPECT_EQ(statusCount(second, 200), programs);
+    }
+}
+
 // Guards against a daemon that keeps to the share of connections that it had when its peers were alive: it refused
 // requests although the endpoint accepted more connections.
 TEST(Claims, ConnectionsOfDeadDaemonsAreUsedByTheLastOne)
