--- a/src/gateway/claims_test.cc
+++ b/src/gateway/claims_test.cc
@@ -63,8 +63,8 @@
     EXPECT_FALSE(world.isRunning(0));
 }
 
-// Guards against a program that is denied its budget because the daemon that decided on it died under a turn: the daemon
-// that ran the turn kept the settlement and never wrote it, since it did not decide on this partition itself.
+// Guards against a program that is denied its budget because the daemon that decided on it died under a turn: the
+// daemon that ran the turn kept the settlement and never wrote it, since it did not decide on this partition itself.
 TEST(Claims, SettlementIsWrittenIfTheDeciderDies)
 {
     constexpr int programs = 24;
@@ -82,8 +82,7 @@
         ASSERT_EQ(statusCount(first, 200), programs);
         std::vector<const caller_response *> second;
         for (int i = 0; i < programs; ++i) {
-            second.push_back(
-                &world.send(3 - decider, modelTurn(fmt::format("p{}", i), fmt::format("b{}", i), budget)));
+            second.push_back(&world.send(3 - decider, modelTurn(fmt::format("p{}", i), fmt::format("b{}", i), budget)));
         }
         world.runFor(3s);
         EXPECT_EQ(statusCount(second, 402), 0);
