Answer withdrawn and expired reservations after they are removed

The answer reports the use of the budget, which is computed from the list of unwritten records. It was computed while that list was being rearranged, so the figures in the log could miss records of the same program. Decisions do not depend on it.

--- a/src/programs/budget_partition.cc
+++ b/src/programs/budget_partition.cc
@@ -83,23 +83,24 @@
     const auto isSameRequest = [&use](const reservation &request) {
         return request.program == use.program && request.attempt == use.attempt;
     };
-    std::erase_if(m_pendingRequests, [&](const pending_request &entry) {
-        const bool withdrawn = isSameRequest(entry.request);
-        if (withdrawn) {
-            respond(entry.request, budget_decision::Unavailable);
+    std::vector<reservation> withdrawn;
+    for (const auto &entry : m_pendingRequests) {
+        if (isSameRequest(entry.request)) {
+            withdrawn.push_back(entry.request);
         }
-        return withdrawn;
-    });
-    const auto firstNotInFlight = m_unwritten.begin() + static_cast<std::ptrdiff_t>(m_appendingCount);
-    const auto removed = std::remove_if(firstNotInFlight, m_unwritten.end(), [&](const unwritten_record &entry) {
+    }
+    std::erase_if(m_pendingRequests, [&](const pending_request &entry) { return isSameRequest(entry.request); });
+    const auto notInFlight = m_unwritten.begin() + static_cast<std::ptrdiff_t>(m_appendingCount);
+    const auto removed = std::stable_partition(notInFlight, m_unwritten.end(), [&](const unwritten_record &entry) {
         const auto *reserved = std::get_if<reservation>(&entry.record);
-        const bool withdrawn = reserved != nullptr && isSameRequest(*reserved);
-        if (withdrawn) {
-            respond(*reserved, budget_decision::Unavailable);
-        }
-        return withdrawn;
+        return reserved == nullptr || !isSameRequest(*reserved);
     });
+    std::transform(removed, m_unwritten.end(), std::back_inserter(withdrawn),
+                   [](const unwritten_record &entry) { return std::get<reservation>(entry.record); });
     m_unwritten.erase(removed, m_unwritten.end());
+    for (const auto &request : withdrawn) {
+        respond(request, budget_decision::Unavailable);
+    }
 }
 
 bool budget_partition::isUnsettled(const std::string &program, const std::string &attempt) const
@@ -333,23 +334,26 @@
 // may have granted the same request meanwhile, and the tokens used there must count.
 void budget_partition::expire(time_point now)
 {
-    std::erase_if(m_pendingRequests, [&](const pending_request &entry) {
-        const bool deadlinePassed = entry.deadline <= now;
-        if (deadlinePassed) {
-            respond(entry.request, budget_decision::Unavailable);
-        }
-        return deadlinePassed;
+    const auto isInTime = [now](const auto &entry) {
+        return entry.deadline > now;
+    };
+    std::vector<reservation> expired;
+    const auto overdue = std::ranges::stable_partition(m_pendingRequests, isInTime);
+    std::ranges::transform(overdue, std::back_inserter(expired), &pending_request::request);
+    m_pendingRequests.erase(overdue.begin(), overdue.end());
+    const auto unwanted = std::ranges::stable_partition(m_unwritten, [&](const unwritten_record &entry) {
+        return !entry.deadline.has_value() || *entry.deadline > now;
     });
-    std::erase_if(m_unwritten, [&](unwritten_record &entry) {
-        if (!entry.deadline.has_value() || *entry.deadline > now) {
-            return false;
-        }
-        respond(std::get<reservation>(entry.record), budget_decision::Unavailable);
+    for (auto &entry : unwanted) {
+        expired.push_back(std::get<reservation>(entry.record));
         if (entry.lostAppendAt.has_value()) {
-            m_abandoned.push_back(entry);
+            m_abandoned.push_back(std::move(entry));
         }
-        return true;
-    });
+    }
+    m_unwritten.erase(unwanted.begin(), unwanted.end());
+    for (const auto &request : expired) {
+        respond(request, budget_decision::Unavailable);
+    }
 }
 
 void budget_partition::tick(time_point now)
