End an append whose reply is of an unexpected kind, and clear lint

A budget partition that gets an answer to an append as if to a read of expired records kept the number of records in flight. The count is now cleared with the append; budget_refusal_test.UnexpectedReplyToAnAppendEndsIt covers the path.

--- a/src/gateway/claims_test.cc
+++ b/src/gateway/claims_test.cc
@@ -30,6 +30,7 @@
     constexpr int programs = 12;
     constexpr std::uint32_t budget = 100; // The 30 tokens of one turn and the 60 that the next one reserves fit.
     std::vector<const caller_response *> first;
+    first.reserve(programs);
     for (int i = 0; i < programs; ++i) {
         first.push_back(&world.send(0, modelTurn(fmt::format("p{}", i), fmt::format("a{}", i), budget)));
     }
@@ -39,6 +40,7 @@
     ASSERT_FALSE(world.isRunning(1));
     ASSERT_EQ(statusCount(first, 200), programs);
     std::vector<const caller_response *> second;
+    second.reserve(programs);
     for (int i = 0; i < programs; ++i) {
         second.push_back(&world.send(0, modelTurn(fmt::format("p{}", i), fmt::format("b{}", i), budget)));
     }
@@ -73,6 +75,7 @@
         gateway_world world({.daemons = 3, .engineEndpoints = 10, .eventInterval = 300ms});
         world.warmUp();
         std::vector<const caller_response *> first;
+        first.reserve(programs);
         for (int i = 0; i < programs; ++i) {
             first.push_back(&world.send(0, modelTurn(fmt::format("p{}", i), fmt::format("a{}", i), budget)));
         }
@@ -81,6 +84,7 @@
         world.runFor(4s);
         ASSERT_EQ(statusCount(first, 200), programs);
         std::vector<const caller_response *> second;
+        second.reserve(programs);
         for (int i = 0; i < programs; ++i) {
             second.push_back(&world.send(3 - decider, modelTurn(fmt::format("p{}", i), fmt::format("b{}", i), budget)));
         }
@@ -104,6 +108,7 @@
     world.kill(1);
     world.runFor(3s);
     std::vector<const caller_response *> responses;
+    responses.reserve(4);
     for (int i = 0; i < 4; ++i) {
         responses.push_back(&world.send(0, shopRequest("/pay/1", fmt::format("a{}", i))));
     }
--- a/src/gateway/endless_stream_test.cc
+++ b/src/gateway/endless_stream_test.cc
@@ -86,7 +86,7 @@
     EXPECT_TRUE(result.response.aborted);
     EXPECT_FALSE(result.response.complete);
     // The most of one turn is tolerated once more.
-    EXPECT_LE(result.response.body.size(), 2 * (60 / gateway_world::tokensPerEvent) * event.size());
+    EXPECT_LE(result.response.body.size(), std::size_t{2} * (60 / gateway_world::tokensPerEvent) * event.size());
     EXPECT_GE(result.response.body.size(), 60 / gateway_world::tokensPerEvent * event.size());
     EXPECT_LE(result.heldBytes, maxHeldBytesPerStream);
     EXPECT_LT(result.took, deadline);
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -140,7 +140,7 @@
     [[nodiscard]] static bool canRepeatRead(const request_context &context, std::size_t index,
                                             const store::reply &result, time_point now);
     void onTurnRead(request_context &context, std::size_t index, const store::reply &result, time_point now);
-    void onTurnDelivered(programs::turn turn, const programs::turn_location &location, time_point now);
+    void onTurnDelivered(const programs::turn &turn, const programs::turn_location &location, time_point now);
     void useHistory(request_context &context, std::string history, programs::turn_chain chain, time_point now);
     void dispatchIfPrepared(request_context &context, time_point now);
     void startTurnWrite(request_context &context, time_point now);
--- a/src/gateway/platform_state.cc
+++ b/src/gateway/platform_state.cc
@@ -224,7 +224,7 @@
             log(log_level::Warning, "record_unreadable",
                 {{"topic", output.where.topic}, {"part", output.where.number}, {"offset", entry.offset}});
         } else if (auto *turn = std::get_if<programs::turn>(&*record)) {
-            onTurnDelivered(std::move(*turn), locationOf(output.where, entry.offset, entry.value.size()), now);
+            onTurnDelivered(*turn, locationOf(output.where, entry.offset, entry.value.size()), now);
         }
     }
 }
--- a/src/gateway/turns.cc
+++ b/src/gateway/turns.cc
@@ -130,7 +130,7 @@
 }
 
 // The age of a record that is read from the log is not known.
-void gateway::implementation::onTurnDelivered(programs::turn turn, const programs::turn_location &location,
+void gateway::implementation::onTurnDelivered(const programs::turn &turn, const programs::turn_location &location,
                                               time_point now)
 {
     programs::turn_chain chain{.records = turn.ancestors, .began = std::nullopt, .tokens = turn.tokens};
--- a/src/programs/budget_partition.cc
+++ b/src/programs/budget_partition.cc
@@ -213,6 +213,7 @@
     } else if (const auto *records = std::get_if<store::records_read>(&result)) {
         onRead(*records, now);
     } else if (const auto *expiredRange = std::get_if<store::expired>(&result)) {
+        m_appendingCount = 0;
         m_nextOffset = std::max(m_nextOffset, expiredRange->first);
         m_readRequired = true;
         startRead();
@@ -338,19 +339,21 @@
         return entry.deadline > now;
     };
     std::vector<reservation> expired;
-    const auto overdue = std::ranges::stable_partition(m_pendingRequests, isInTime);
-    std::ranges::transform(overdue, std::back_inserter(expired), &pending_request::request);
-    m_pendingRequests.erase(overdue.begin(), overdue.end());
-    const auto unwanted = std::ranges::stable_partition(m_unwritten, [&](const unwritten_record &entry) {
-        return !entry.deadline.has_value() || *entry.deadline > now;
-    });
-    for (auto &entry : unwanted) {
-        expired.push_back(std::get<reservation>(entry.record));
-        if (entry.lostAppendAt.has_value()) {
-            m_abandoned.push_back(std::move(entry));
+    const auto overdue = std::stable_partition(m_pendingRequests.begin(), m_pendingRequests.end(), isInTime);
+    std::transform(overdue, m_pendingRequests.end(), std::back_inserter(expired),
+                   [](const pending_request &entry) { return entry.request; });
+    m_pendingRequests.erase(overdue, m_pendingRequests.end());
+    const auto unwanted =
+        std::stable_partition(m_unwritten.begin(), m_unwritten.end(), [&](const unwritten_record &entry) {
+            return !entry.deadline.has_value() || *entry.deadline > now;
+        });
+    for (auto entry = unwanted; entry != m_unwritten.end(); ++entry) {
+        expired.push_back(std::get<reservation>(entry->record));
+        if (entry->lostAppendAt.has_value()) {
+            m_abandoned.push_back(std::move(*entry));
         }
     }
-    m_unwritten.erase(unwanted.begin(), unwanted.end());
+    m_unwritten.erase(unwanted, m_unwritten.end());
     for (const auto &request : expired) {
         respond(request, budget_decision::Unavailable);
     }
--- a/src/programs/budget_refusal_test.cc
+++ b/src/programs/budget_refusal_test.cc
@@ -114,4 +114,23 @@
     EXPECT_EQ(one.budgets.usageOf("p").reserved, 101U);
 }
 
+// Guards against a reply of an unexpected kind that leaves records marked as in flight after they are removed.
+TEST_F(budget_refusal_test, UnexpectedReplyToAnAppendEndsIt)
+{
+    reserve(one, "0", 1, 900);
+    run(one);
+    reserve(one, "1", 100, 900);
+    ASSERT_EQ(one.calls.size(), 1U);
+    reply(one, store::expired{0});
+    clock.advance(2s); // Past the deadline of the request.
+    one.budgets.tick(clock.now());
+    one.collect();
+    EXPECT_EQ(one.decisionOn("1"), budget_decision::Unavailable);
+    settle(one, "1", 0);
+    run(one);
+    reserve(one, "2", 100, 900);
+    run(one);
+    EXPECT_EQ(one.decisionOn("2"), budget_decision::Granted);
+}
+
 } // namespace jackdawpick::programs
