--- a/src/testing/allocated_bytes.cc
+++ b/src/testing/allocated_bytes.cc
@@ -11,11 +11,12 @@
 std::atomic<std::size_t> heldBytes = 0;
 std::atomic<std::size_t> peakBytes = 0;
 
-void *allocate(std::size_t size)
+// Null if there is no memory.
+void *tryAllocate(std::size_t size)
 {
     void *place = std::malloc(size == 0 ? 1 : size);
     if (place == nullptr) {
-        throw std::bad_alloc();
+        return nullptr;
     }
     const auto added = ::malloc_usable_size(place);
     const auto held = heldBytes.fetch_add(added) + added;
@@ -23,6 +24,15 @@
     return place;
 }
 
+void *allocate(std::size_t size)
+{
+    void *place = tryAllocate(size);
+    if (place == nullptr) {
+        throw std::bad_alloc();
+    }
+    return place;
+}
+
 void release(void *place)
 {
     if (place != nullptr) {
@@ -43,6 +53,16 @@
     return allocate(size);
 }
 
+void *operator new(std::size_t size, const std::nothrow_t & /*tag*/) noexcept
+{
+    return tryAllocate(size);
+}
+
+void *operator new[](std::size_t size, const std::nothrow_t & /*tag*/) noexcept
+{
+    return tryAllocate(size);
+}
+
 void operator delete(void *place) noexcept
 {
     release(place);
