--- a/src/gateway/testing/gateway_world.cc
+++ b/src/gateway/testing/gateway_world.cc
@@ -469,31 +469,6 @@
     return result;
 }
 
-store::reply gateway_world::execute(const store::trim_call &call)
-{
-    auto &content = m_partitions[call.where];
-    for (; content.first < std::min<std::uint64_t>(call.before, content.records.size()); ++content.first) {
-        m_storedBytes -= std::exchange(content.records[content.first].value, {}).size();
-    }
-    return store::trimmed{};
-}
-
-store::reply gateway_world::execute(const store::newest_call &call)
-{
-    const auto &records = m_partitions[call.where].records;
-    std::map<std::string, store::record> newest;
-    for (const auto &record : records) {
-        newest[record.key] = record;
-    }
-    store::newest_page page{.records = {}, .end = records.size()};
-    for (const auto &[key, record] : newest) {
-        if (!record.value.empty()) {
-            page.records.push_back(record);
-        }
-    }
-    return page;
-}
-
 void gateway_world::publish(routing::configuration configuration)
 {
     const auto text = fmt::format("configuration {}", configuration.version);
--- a/src/gateway/testing/world_store.cc
+++ b/src/gateway/testing/world_store.cc
@@ -1,12 +1,39 @@
-// What tests ask of the store of a gateway_world, and do to its records.
+// The store of a gateway_world: listing and deleting records, and what tests ask of it and do to its records.
 
 #include "gateway/testing/gateway_world.h"
 
+#include <algorithm>
 #include <numeric>
+#include <utility>
 
 namespace jackdawpick::gateway::testing
 {
 
+store::reply gateway_world::execute(const store::trim_call &call)
+{
+    auto &content = m_partitions[call.where];
+    for (; content.first < std::min<std::uint64_t>(call.before, content.records.size()); ++content.first) {
+        m_storedBytes -= std::exchange(content.records[content.first].value, {}).size();
+    }
+    return store::trimmed{};
+}
+
+store::reply gateway_world::execute(const store::newest_call &call)
+{
+    const auto &records = m_partitions[call.where].records;
+    std::map<std::string, store::record> newest;
+    for (const auto &record : records) {
+        newest[record.key] = record;
+    }
+    store::newest_page page{.records = {}, .end = records.size()};
+    for (const auto &[key, record] : newest) {
+        if (!record.value.empty()) {
+            page.records.push_back(record);
+        }
+    }
+    return page;
+}
+
 void gateway_world::replaceRecord(const store::partition &where, std::uint64_t offset, std::uint64_t copyOf)
 {
     auto &records = m_partitions.at(where).records;
