Look up the next append of a budget partition without copying records

ranges::min returns a copy of the record, made for each partition whenever the next deadline is computed, that is on every event. min_element gives its place. No change of behaviour; budget_refusal_test 6 and budget_partition_test 14 pass (sanitizers).

--- a/src/programs/budget_partition.cc
+++ b/src/programs/budget_partition.cc
@@ -164,7 +164,7 @@
     if (m_readRequired || m_appendCall.has_value() || m_readCall.has_value() || m_unwritten.empty()) {
         return std::nullopt;
     }
-    const auto due = std::ranges::min(m_unwritten, std::less<>(), &unwritten_record::due).due;
+    const auto due = std::ranges::min_element(m_unwritten, std::less<>(), &unwritten_record::due)->due;
     return std::max(due, m_retryAt.value_or(due));
 }
 
