Keep the records of an append apart from those that wait for the next one

Callers saw connections that closed without an answer when a daemon ended with code 139 while the store was away; settlements could also be lost without any sign.

Cause: budget_partition kept the records of the append under way as the first m_appendingCount of m_unwritten. The reply to a read decided requests whose deadline had passed meanwhile, put their reservations into an append and then removed them again in expire(). onAppended() then took as many records from the front: past the end, or a record that no append had held.

A request whose deadline has passed is now answered as unavailable without being decided, and the records of the append under way are a list of their own that only its reply empties. tick() therefore may expire requests during an append too.

Evidence: on the code before, ReservationThatExpiresDuringTheReadIsNotAppended ends with a heap-buffer-overflow of the address sanitizer and SettlementAfterALateReadIsWritten finds no settlement in the log; both pass now. SettlementDuringAnAppendIsWritten passed before and guards the new list. budget_partition_test (14), budget_refusal_test (9), programs_test (10) pass under the sanitizers.

--- a/src/programs/budget_partition.cc
+++ b/src/programs/budget_partition.cc
@@ -12,6 +12,15 @@
 
 constexpr std::array<std::string_view, 3> budgetAnswerNames{"granted", "denied", "unavailable"};
 
+// Whether an append with this reply may have been executed, or may still be.
+bool mayBeExecuted(const store::reply &result)
+{
+    if (const auto *reason = std::get_if<store::failure>(&result)) {
+        return *reason == store::failure::NoReply;
+    }
+    return !std::holds_alternative<store::conflict>(result) && !std::holds_alternative<store::expired>(result);
+}
+
 } // namespace
 
 std::string_view nameOf(budget_decision value)
@@ -44,6 +53,10 @@
 void budget_partition::decide(const pending_request &entry, time_point now)
 {
     const auto &request = entry.request;
+    if (entry.deadline <= now) {
+        respond(request, budget_decision::Unavailable);
+        return;
+    }
     if (isUnsettled(request.program, request.attempt)) {
         respond(request, budget_decision::Granted);
         return;
@@ -90,11 +103,11 @@
         }
     }
     std::erase_if(m_pendingRequests, [&](const pending_request &entry) { return isSameRequest(entry.request); });
-    const auto notInFlight = m_unwritten.begin() + static_cast<std::ptrdiff_t>(m_appendingCount);
-    const auto removed = std::stable_partition(notInFlight, m_unwritten.end(), [&](const unwritten_record &entry) {
-        const auto *reserved = std::get_if<reservation>(&entry.record);
-        return reserved == nullptr || !isSameRequest(*reserved);
-    });
+    const auto removed =
+        std::stable_partition(m_unwritten.begin(), m_unwritten.end(), [&](const unwritten_record &entry) {
+            const auto *reserved = std::get_if<reservation>(&entry.record);
+            return reserved == nullptr || !isSameRequest(*reserved);
+        });
     std::transform(removed, m_unwritten.end(), std::back_inserter(withdrawn),
                    [](const unwritten_record &entry) { return std::get<reservation>(entry.record); });
     m_unwritten.erase(removed, m_unwritten.end());
@@ -110,7 +123,7 @@
         return settled != nullptr && settled->program == program && settled->attempt == attempt;
     };
     return m_ledger.stateOf(program, attempt) == reservation_state::Granted && !m_ledger.isSettled(program, attempt)
-        && std::ranges::none_of(m_unwritten, isSettlement);
+        && std::ranges::none_of(m_appending, isSettlement) && std::ranges::none_of(m_unwritten, isSettlement);
 }
 
 bool budget_partition::isViewFresh(time_point now) const
@@ -128,12 +141,14 @@
 budget_usage budget_partition::certainUsageOf(const std::string &program) const
 {
     std::vector<program_record> settlements;
-    for (const auto &entry : m_unwritten) {
+    const auto addSettlement = [&](const unwritten_record &entry) {
         if (const auto *settled = std::get_if<settlement>(&entry.record);
             settled != nullptr && settled->program == program) {
             settlements.emplace_back(*settled);
         }
-    }
+    };
+    std::ranges::for_each(m_appending, addSettlement);
+    std::ranges::for_each(m_unwritten, addSettlement);
     return m_ledger.usageAfter(program, settlements);
 }
 
@@ -146,13 +161,14 @@
         }
     };
     std::ranges::for_each(m_abandoned, addRecord);
+    std::ranges::for_each(m_appending, addRecord);
     std::ranges::for_each(m_unwritten, addRecord);
     return m_ledger.usageAfter(program, records);
 }
 
 bool budget_partition::hasUnwrittenRecords() const
 {
-    return !m_unwritten.empty();
+    return !m_appending.empty() || !m_unwritten.empty();
 }
 
 // ---- Appends ----
@@ -174,9 +190,9 @@
         return;
     }
     store::append_call call{.where = m_where, .records = {}, .expectedEnd = m_nextOffset};
-    std::ranges::transform(m_unwritten, std::back_inserter(call.records),
+    m_appending = std::exchange(m_unwritten, {});
+    std::ranges::transform(m_appending, std::back_inserter(call.records),
                            [](const unwritten_record &entry) { return encodeRecord(entry.record); });
-    m_appendingCount = m_unwritten.size();
     m_appendCall = budget_call_id{++m_lastCall};
     m_retryAt.reset();
     m_outputs.emplace_back(start_budget_call{.id = *m_appendCall, .call = std::move(call)});
@@ -208,27 +224,23 @@
     }
     (isAppend ? m_appendCall : m_readCall).reset();
     m_failures = std::holds_alternative<store::failure>(result) ? m_failures : 0;
+    if (isAppend && !std::holds_alternative<store::appended>(result)) {
+        returnToUnwritten(mayBeExecuted(result));
+    }
     if (const auto *appendResult = std::get_if<store::appended>(&result); appendResult != nullptr && isAppend) {
         onAppended(*appendResult, now);
     } else if (const auto *records = std::get_if<store::records_read>(&result)) {
         onRead(*records, now);
     } else if (const auto *expiredRange = std::get_if<store::expired>(&result)) {
-        m_appendingCount = 0;
         m_nextOffset = std::max(m_nextOffset, expiredRange->first);
         m_readRequired = true;
         startRead();
     } else if (std::holds_alternative<store::conflict>(result)) {
-        m_appendingCount = 0;
         m_readRequired = true;
         startRead();
     } else {
         // Whether an append without reply was executed can only be found out by reading.
-        const auto *reason = std::get_if<store::failure>(&result);
-        if (isAppend && (reason == nullptr || *reason == store::failure::NoReply)) {
-            m_readRequired = true;
-            markAppendLost();
-        }
-        m_appendingCount = 0;
+        m_readRequired = m_readRequired || (isAppend && mayBeExecuted(result));
         m_retryAt = now + retryDelay;
         m_failingSince = m_failures == 0 ? now : m_failingSince;
         ++m_failures;
@@ -240,22 +252,23 @@
 
 void budget_partition::onAppended(const store::appended &result, time_point now)
 {
-    m_nextOffset = result.offset + m_appendingCount;
+    const auto written = std::exchange(m_appending, {});
+    m_nextOffset = result.offset + written.size();
     m_lastConfirmed = now;
-    std::vector<unwritten_record> written(
-        std::make_move_iterator(m_unwritten.begin()),
-        std::make_move_iterator(m_unwritten.begin() + static_cast<std::ptrdiff_t>(m_appendingCount)));
-    m_unwritten.erase(m_unwritten.begin(), m_unwritten.begin() + static_cast<std::ptrdiff_t>(m_appendingCount));
-    m_appendingCount = 0;
     std::ranges::for_each(written, [&](const unwritten_record &entry) { m_ledger.apply(entry.record, now); });
     std::ranges::for_each(written, [this](const unwritten_record &entry) { respondToWritten(entry); });
     forgetResolvedAppends();
 }
 
-void budget_partition::markAppendLost()
+// Puts the records of an append that was not acknowledged back to the front of the unwritten ones.
+void budget_partition::returnToUnwritten(bool maybeExecuted)
 {
-    const auto inFlight = std::span(m_unwritten).first(m_appendingCount);
-    std::ranges::for_each(inFlight, [this](unwritten_record &entry) { entry.lostAppendAt = m_nextOffset; });
+    if (maybeExecuted) {
+        std::ranges::for_each(m_appending, [this](unwritten_record &entry) { entry.lostAppendAt = m_nextOffset; });
+    }
+    m_unwritten.insert(m_unwritten.begin(), std::make_move_iterator(m_appending.begin()),
+                       std::make_move_iterator(m_appending.end()));
+    m_appending.clear();
 }
 
 // Responds to a reservation that has been written, if its response is pending.
@@ -364,9 +377,7 @@
     if (m_retryAt.has_value() && *m_retryAt <= now) {
         m_retryAt.reset();
     }
-    if (!m_appendCall.has_value()) {
-        expire(now);
-    }
+    expire(now);
     startRequiredRead();
     startAppend(now);
 }
@@ -380,8 +391,11 @@
     if (m_retryAt.has_value()) {
         consider(*m_retryAt);
     }
-    if (!m_appendCall.has_value()) {
-        std::ranges::for_each(m_pendingRequests, consider, &pending_request::deadline);
+    std::ranges::for_each(m_pendingRequests, consider, &pending_request::deadline);
+    for (const auto &entry : m_unwritten) {
+        if (entry.deadline.has_value()) {
+            consider(*entry.deadline);
+        }
     }
     return earliest;
 }
@@ -394,10 +408,12 @@
 unwritten_records budget_partition::unwrittenRecords() const
 {
     unwritten_records result;
-    for (const auto &entry : m_unwritten) {
+    const auto addRecord = [&result](const unwritten_record &entry) {
         ++(std::holds_alternative<reservation>(entry.record) ? result.reservations : result.settlements);
         result.oldest = std::min(result.oldest.value_or(entry.since), entry.since);
-    }
+    };
+    std::ranges::for_each(m_appending, addRecord);
+    std::ranges::for_each(m_unwritten, addRecord);
     return result;
 }
 
@@ -409,6 +425,7 @@
         view.reservedUnwritten += reserved != nullptr && reserved->program == program ? reserved->tokens : 0;
     };
     std::ranges::for_each(m_abandoned, addReservation);
+    std::ranges::for_each(m_appending, addReservation);
     std::ranges::for_each(m_unwritten, addReservation);
     return view;
 }
--- a/src/programs/budget_refusal_test.cc
+++ b/src/programs/budget_refusal_test.cc
@@ -133,4 +133,48 @@
     EXPECT_EQ(one.decisionOn("2"), budget_decision::Granted);
 }
 
+// Guards against a daemon that ends when an append is answered whose reservation has expired meanwhile.
+TEST_F(budget_refusal_test, ReservationThatExpiresDuringTheReadIsNotAppended)
+{
+    reserve(one, "1");
+    clock.advance(2s); // Past the deadline, without a tick.
+    run(one);
+    EXPECT_TRUE(one.hasResponse("1"));
+    EXPECT_EQ(one.decisionOn("1"), budget_decision::Unavailable);
+    EXPECT_FALSE(one.budgets.hasUnwrittenRecords());
+}
+
+// Guards against a settlement that counts as written although no append contained it.
+TEST_F(budget_refusal_test, SettlementDuringAnAppendIsWritten)
+{
+    reserve(one, "0");
+    run(one);
+    reserve(one, "1");
+    ASSERT_EQ(one.calls.size(), 1U);
+    const auto append = log.execute(one.calls.front().call);
+    clock.advance(2s); // Past the deadline of the reservation in flight.
+    one.budgets.tick(clock.now());
+    settle(one, "0", 10);
+    reply(one, append);
+    clock.advance(budget_partition::batchingDelay);
+    run(one);
+    EXPECT_EQ(log.records.size(), 3U);
+    EXPECT_FALSE(one.budgets.hasUnwrittenRecords());
+}
+
+// Guards against a settlement that takes the place of an expired reservation in the append that a late read started.
+TEST_F(budget_refusal_test, SettlementAfterALateReadIsWritten)
+{
+    reserve(one, "1");
+    clock.advance(2s);
+    reply(one, log.execute(one.calls.front().call)); // The read.
+    settle(one, "2", 10);
+    clock.advance(budget_partition::batchingDelay);
+    run(one);
+    EXPECT_TRUE(std::ranges::any_of(log.records, [](const std::string &bytes) {
+        const auto record = decodeRecord(bytes);
+        return record.has_value() && std::holds_alternative<settlement>(*record);
+    }));
+}
+
 } // namespace jackdawpick::programs
--- a/src/programs/programs.h
+++ b/src/programs/programs.h
@@ -259,7 +259,7 @@
     void onAppended(const store::appended &result, time_point now);
     void onRead(const store::records_read &result, time_point now);
     void removeWritten();
-    void markAppendLost();
+    void returnToUnwritten(bool maybeExecuted);
     void forgetResolvedAppends();
     void expire(time_point now);
     [[nodiscard]] bool isWritten(const program_record &record) const;
@@ -273,8 +273,8 @@
     std::optional<time_point> m_lastConfirmed; // When the view was last known to include the end of the partition.
     unsigned m_failures = 0; // Consecutive failed calls.
     time_point m_failingSince{};
-    std::vector<unwritten_record> m_unwritten; // In append order.
-    std::size_t m_appendingCount = 0; // How many records, from the front of m_unwritten, are being appended.
+    std::vector<unwritten_record> m_appending; // Records of the append under way; nothing else may remove them.
+    std::vector<unwritten_record> m_unwritten; // Records of the next append, in append order.
     // Reservations that are no longer wanted but may still be written by an append without reply.
     std::vector<unwritten_record> m_abandoned;
     std::vector<pending_request> m_pendingRequests; // Requests that wait for the partition to be read.
