Decode and log the rate limits that endpoints state

The header is decoded in platform/, kept in limit_table with the time of the statement, passed to peers in heartbeats, and each change of belief is one line, endpoint_limit_changed, with its source and the age of the statement. The gauge jackdawpick_endpoints_limited counts them, and so does the status.

No decision uses the limit yet. limits_test (10), platform_test (11), peers_test, gateway_test, pages_test, metrics_test pass under the sanitizers.

--- a/src/gateway/dispatching.cc
+++ b/src/gateway/dispatching.cc
@@ -128,6 +128,7 @@
         return;
     }
     auto &context = m_requests.at(found->second);
+    recordLimit(context, received, now);
     if (received.notExecuted || received.status == misdirectedRequest) {
         onRejected(context, received, now);
     } else if (impliesNotExecuted(received.status) || (received.status / 100 == 2 && !received.hasEndpointSignature)) {
--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -68,6 +68,7 @@
     std::uint16_t status = 0;
     bool hasEndpointSignature = false; // Carries the signature header of an endpoint.
     bool notExecuted = false; // The endpoint states that it did not run the request.
+    std::optional<double> rateLimit; // Requests per second that the endpoint takes from all daemons together.
     header_list headers; // Forwarded to the caller.
     std::optional<std::uint64_t> contentLength;
 };
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -2,7 +2,8 @@
 
 // The state and the event handlers of the gateway, grouped by file: requests.cc (arrival, refusal, completion),
 // budgets.cc (reservations), turns.cc (histories), turn_writes.cc (their records), turn_trimming.cc
-// (deletion of these), dispatching.cc (endpoints), platform_state.cc (store, watches, peers).
+// (deletion of these), dispatching.cc (endpoints), endpoint_limits.cc (their rate limits), platform_state.cc (store,
+// watches, peers).
 
 #include "admission/admission.h"
 #include "gateway/gateway.h"
@@ -11,6 +12,7 @@
 #include "gateway/internal/request_context.h"
 #include "gateway/internal/store_access.h"
 #include "gateway/internal/trim_marks.h"
+#include "limits/limits.h"
 #include "programs/programs.h"
 
 #include <array>
@@ -187,6 +189,11 @@
     [[nodiscard]] bool admit(request_context &context, time_point now);
     [[nodiscard]] fleet::placement_request placementRequestFor(const request_context &context) const;
 
+    // endpoint_limits.cc
+    void recordLimit(const request_context &context, const response_head &head, time_point now);
+    void applyLimitReports(const std::string &peer, const std::vector<limits::limit_report> &reports, time_point now);
+    void evictExpiredLimits(time_point now);
+
     // platform_state.cc
     void startStoreCall(internal::store_call_owner owner, store::call call, time_point now);
     void processInternalOutputs(time_point now);
@@ -226,6 +233,7 @@
     std::shared_ptr<const routing::route_table> m_table;
     fleet::endpoint_pool m_pool;
     crashes::crash_tracker m_crashes;
+    limits::limit_table m_limits;
     store::partition_log m_log;
     std::map<store::partition, programs::budget_partition>
         m_budgets; // Partitions for which this daemon decides or has decided.
--- a/src/gateway/platform_state.cc
+++ b/src/gateway/platform_state.cc
@@ -81,6 +81,7 @@
         std::erase_if(m_partitionBackoffUntil, [now](const auto &entry) { return entry.second <= now; });
         evictIdleBudgets(now);
         m_crashes.evictExpired(now);
+        evictExpiredLimits(now);
     }
 }
 
@@ -403,7 +404,9 @@
         m_peers.onHello(received.link, *identity, now);
     } else if (const auto *heartbeat = std::get_if<peers::heartbeat>(&received.content)) {
         m_peers.onHeartbeat(received.link, *heartbeat, now);
-        m_pool.setPeerLoads(m_peers.nameOf(received.link), heartbeat->loads, now);
+        const auto peer = m_peers.nameOf(received.link);
+        m_pool.setPeerLoads(peer, heartbeat->loads, now);
+        applyLimitReports(peer, heartbeat->limits, now);
     } else if (const auto *runReports = std::get_if<peers::run_reports>(&received.content)) {
         std::ranges::for_each(runReports->reports, [&](const auto &report) { m_crashes.onReport(report, now); });
     } else if (const auto *request = std::get_if<peers::store_request>(&received.content)) {
@@ -432,7 +435,8 @@
     return {.ready = ready(),
             .storeReachable = m_store.paths().isDirectPathUp(now),
             .configuration = m_table == nullptr ? 0 : m_table->source().version,
-            .loads = m_pool.localLoads()};
+            .loads = m_pool.localLoads(),
+            .limits = m_limits.ownReports(now)};
 }
 
 void gateway::implementation::tickPeers(time_point now)
@@ -469,6 +473,7 @@
     return {.openRequests = m_requests.size(),
             .peersAlive = m_peers.aliveCount(now),
             .endpointsKnown = m_pool.size(),
+            .endpointsLimited = m_limits.inForce().size(),
             .storeReachable = m_store.paths().isDirectPathUp(now),
             .storeFull = m_store.room().isFull(),
             .unwrittenReservations = unwritten.reservations,
--- a/src/metrics/metrics.cc
+++ b/src/metrics/metrics.cc
@@ -70,6 +70,8 @@
     row{metric::PeersAlive, "jackdawpick_peers_alive", Gauge, "daemons", "", "Other daemons heard of lately."},
     row{metric::EndpointsKnown, "jackdawpick_endpoints_known", Gauge, "endpoints", "",
         "Endpoints in the list, those included that are leaving."},
+    row{metric::EndpointsLimited, "jackdawpick_endpoints_limited", Gauge, "endpoints", "",
+        "Endpoints that state a rate limit in their responses."},
     row{metric::DroppedLogLines, "jackdawpick_dropped_log_lines_total", Counter, "lines", "",
         "Log lines that standard output did not take in time."},
     row{metric::EndpointFailures, "jackdawpick_endpoint_failures_total", Counter, "attempts", "service,how",
--- a/src/metrics/metrics.h
+++ b/src/metrics/metrics.h
@@ -57,6 +57,7 @@
     BudgetUnwrittenSeconds,
     PeersAlive,
     EndpointsKnown,
+    EndpointsLimited,
     DroppedLogLines,
     EndpointFailures,
     Requests,
--- a/src/peers/internal/peer_messages_generated.h
+++ b/src/peers/internal/peer_messages_generated.h
@@ -23,6 +23,9 @@
 struct Load;
 struct LoadBuilder;
 
+struct Limit;
+struct LimitBuilder;
+
 struct Beat;
 struct BeatBuilder;
 
@@ -470,13 +473,102 @@
       in_flight);
 }
 
+struct Limit FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LimitBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ENDPOINT = 4,
+    VT_STATED = 6,
+    VT_RATE = 8,
+    VT_AGE_MS = 10
+  };
+  const flatbuffers::String *endpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
+  }
+  bool stated() const {
+    return GetField<uint8_t>(VT_STATED, 0) != 0;
+  }
+  double rate() const {
+    return GetField<double>(VT_RATE, 0.0);
+  }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_ENDPOINT) &&
+           verifier.VerifyString(endpoint()) &&
+           VerifyField<uint8_t>(verifier, VT_STATED, 1) &&
+           VerifyField<double>(verifier, VT_RATE, 8) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct LimitBuilder {
+  typedef Limit Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_endpoint(flatbuffers::Offset<flatbuffers::String> endpoint) {
+    fbb_.AddOffset(Limit::VT_ENDPOINT, endpoint);
+  }
+  void add_stated(bool stated) {
+    fbb_.AddElement<uint8_t>(Limit::VT_STATED, static_cast<uint8_t>(stated), 0);
+  }
+  void add_rate(double rate) {
+    fbb_.AddElement<double>(Limit::VT_RATE, rate, 0.0);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(Limit::VT_AGE_MS, age_ms, 0);
+  }
+  explicit LimitBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Limit> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Limit>(end);
+    fbb_.Required(o, Limit::VT_ENDPOINT);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Limit> CreateLimit(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> endpoint = 0,
+    bool stated = false,
+    double rate = 0.0,
+    uint32_t age_ms = 0) {
+  LimitBuilder builder_(_fbb);
+  builder_.add_rate(rate);
+  builder_.add_age_ms(age_ms);
+  builder_.add_endpoint(endpoint);
+  builder_.add_stated(stated);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Limit> CreateLimitDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *endpoint = nullptr,
+    bool stated = false,
+    double rate = 0.0,
+    uint32_t age_ms = 0) {
+  auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
+  return jackdawpick::peers::fbs::CreateLimit(
+      _fbb,
+      endpoint__,
+      stated,
+      rate,
+      age_ms);
+}
+
 struct Beat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef BeatBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_READY = 4,
     VT_STORE_REACHABLE = 6,
     VT_CONFIGURATION = 8,
-    VT_LOADS = 10
+    VT_LOADS = 10,
+    VT_LIMITS = 12
   };
   bool ready() const {
     return GetField<uint8_t>(VT_READY, 0) != 0;
@@ -490,6 +582,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<jackdawpick::peers::fbs::Load>> *loads() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<jackdawpick::peers::fbs::Load>> *>(VT_LOADS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<jackdawpick::peers::fbs::Limit>> *limits() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<jackdawpick::peers::fbs::Limit>> *>(VT_LIMITS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_READY, 1) &&
@@ -498,6 +593,9 @@
            VerifyOffsetRequired(verifier, VT_LOADS) &&
            verifier.VerifyVector(loads()) &&
            verifier.VerifyVectorOfTables(loads()) &&
+           VerifyOffset(verifier, VT_LIMITS) &&
+           verifier.VerifyVector(limits()) &&
+           verifier.VerifyVectorOfTables(limits()) &&
            verifier.EndTable();
   }
 };
@@ -518,6 +616,9 @@
   void add_loads(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<jackdawpick::peers::fbs::Load>>> loads) {
     fbb_.AddOffset(Beat::VT_LOADS, loads);
   }
+  void add_limits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<jackdawpick::peers::fbs::Limit>>> limits) {
+    fbb_.AddOffset(Beat::VT_LIMITS, limits);
+  }
   explicit BeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -535,9 +636,11 @@
     bool ready = false,
     bool store_reachable = false,
     uint64_t configuration = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<jackdawpick::peers::fbs::Load>>> loads = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<jackdawpick::peers::fbs::Load>>> loads = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<jackdawpick::peers::fbs::Limit>>> limits = 0) {
   BeatBuilder builder_(_fbb);
   builder_.add_configuration(configuration);
+  builder_.add_limits(limits);
   builder_.add_loads(loads);
   builder_.add_store_reachable(store_reachable);
   builder_.add_ready(ready);
@@ -549,14 +652,17 @@
     bool ready = false,
     bool store_reachable = false,
     uint64_t configuration = 0,
-    const std::vector<flatbuffers::Offset<jackdawpick::peers::fbs::Load>> *loads = nullptr) {
+    const std::vector<flatbuffers::Offset<jackdawpick::peers::fbs::Load>> *loads = nullptr,
+    const std::vector<flatbuffers::Offset<jackdawpick::peers::fbs::Limit>> *limits = nullptr) {
   auto loads__ = loads ? _fbb.CreateVector<flatbuffers::Offset<jackdawpick::peers::fbs::Load>>(*loads) : 0;
+  auto limits__ = limits ? _fbb.CreateVector<flatbuffers::Offset<jackdawpick::peers::fbs::Limit>>(*limits) : 0;
   return jackdawpick::peers::fbs::CreateBeat(
       _fbb,
       ready,
       store_reachable,
       configuration,
-      loads__);
+      loads__,
+      limits__);
 }
 
 struct Bytes FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/peers/peers.cc
+++ b/src/peers/peers.cc
@@ -36,7 +36,13 @@
     std::ranges::transform(value.loads, std::back_inserter(loads), [&out](const auto &load) {
         return fbs::CreateLoad(out, out.CreateString(load.first), load.second);
     });
-    return fbs::CreateBeat(out, value.ready, value.storeReachable, value.configuration, out.CreateVector(loads))
+    std::vector<flatbuffers::Offset<fbs::Limit>> limits;
+    std::ranges::transform(value.limits, std::back_inserter(limits), [&out](const limits::limit_report &report) {
+        return fbs::CreateLimit(out, out.CreateString(report.endpoint), report.rate.has_value(),
+                                report.rate.value_or(0), static_cast<std::uint32_t>(report.age.count()));
+    });
+    return fbs::CreateBeat(out, value.ready, value.storeReachable, value.configuration, out.CreateVector(loads),
+                           out.CreateVector(limits))
         .Union();
 }
 
@@ -234,6 +240,13 @@
     for (const auto *load : *body.loads()) {
         value.loads.emplace_back(load->endpoint()->str(), load->in_flight());
     }
+    if (body.limits() != nullptr) {
+        std::ranges::transform(*body.limits(), std::back_inserter(value.limits), [](const auto *limit) {
+            return limits::limit_report{.endpoint = limit->endpoint()->str(),
+                                        .rate = limit->stated() ? std::optional(limit->rate()) : std::nullopt,
+                                        .age = std::chrono::milliseconds(limit->age_ms())};
+        });
+    }
     return value;
 }
 
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -9,6 +9,7 @@
 
 #include "crashes/crashes.h"
 #include "fleet/fleet.h"
+#include "limits/limits.h"
 #include "programs/programs.h"
 #include "store/store.h"
 
@@ -40,6 +41,7 @@
     bool storeReachable = false; // Directly, without a relay.
     std::uint64_t configuration = 0; // Version of the active configuration; 0: none.
     fleet::endpoint_loads loads;
+    std::vector<limits::limit_report> limits; // Stated by endpoints in responses to the sender.
     bool operator==(const heartbeat &) const = default;
 };
 
