Issue permits for endpoints that state a rate limit at one daemon each

Cause: no decision used the limit.

The daemon that rendezvous hashing ranks first among the live ones issues the permits of an endpoint from a token bucket; the others ask it before they send, one message each way. A share for each of 80 daemons would have no whole request; here a limit is used by whoever has requests. A bucket is empty when a daemon takes over, and a daemon that does not consider itself the issuer denies, so nothing is issued twice. First turns leave permits to programs under way and are refused at once with the time of the next permit; turns of programs under way and calls of tools wait up to 1 s. Placement counts a limited endpoint with the slots that its limit fills, also for the weight of rendezvous hashing, so that it does not look idle. A limit ends with a response that states none to a request sent after the latest statement.

--- a/src/admission/admission.cc
+++ b/src/admission/admission.cc
@@ -25,6 +25,9 @@
 constexpr std::chrono::milliseconds urgentRetryDelay{200};
 constexpr std::chrono::milliseconds routineRetryDelay{700};
 
+constexpr double urgentFirstTurnReserve = 1; // Permits.
+constexpr double routineFirstTurnReserve = 2;
+
 } // namespace
 
 int priorityOf(const turn_urgency &turn)
@@ -32,6 +35,14 @@
     return std::clamp(turn.rank * prioritiesPerRank + (turn.firstTurn ? 1 : 0), 0, lowestPriority);
 }
 
+double permitReserveOf(const turn_urgency &turn)
+{
+    if (!turn.firstTurn) {
+        return 0;
+    }
+    return turn.rank == 0 ? urgentFirstTurnReserve : routineFirstTurnReserve;
+}
+
 std::optional<std::chrono::milliseconds> retryDelayOf(const turn_urgency &turn, double utilisation,
                                                       double randomFraction)
 {
--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -30,6 +30,10 @@
 // rank.
 [[nodiscard]] int priorityOf(const turn_urgency &turn);
 
+// Permits to send to an endpoint with a rate limit that a request leaves to more urgent ones: turns of programs under
+// way and calls of tools leave none, first turns of urgent programs some, those of other programs most.
+[[nodiscard]] double permitReserveOf(const turn_urgency &turn);
+
 // Returns how long the caller should wait before it retries a refused turn, or nullopt if the turn is admitted. Turns
 // other than the first are always admitted. `utilisation` is the number of requests in flight per engine slot. The
 // probability of a refusal grows with it; `randomFraction` in [0, 1) makes the choice, so that the daemons refuse the
--- a/src/fleet/endpoint_pool.cc
+++ b/src/fleet/endpoint_pool.cc
@@ -72,6 +72,36 @@
     m_connectionLimits[service] = std::max<std::uint32_t>(static_cast<std::uint32_t>(share), 1);
 }
 
+void endpoint_pool::setRateLimit(const std::string &id, std::optional<double> rate)
+{
+    if (const auto found = m_endpoints.find(id); found != m_endpoints.end()) {
+        found->second.rateLimit = rate;
+        if (!rate.has_value()) {
+            found->second.blockedUntil = {};
+        }
+    }
+}
+
+void endpoint_pool::blockUntil(const std::string &id, time_point when)
+{
+    if (const auto found = m_endpoints.find(id); found != m_endpoints.end()) {
+        found->second.blockedUntil = when;
+    }
+}
+
+std::optional<time_point> endpoint_pool::nextUnblocked(const placement_request &request, time_point now) const
+{
+    std::optional<time_point> earliest;
+    for (const auto &[id, value] : m_endpoints) {
+        const bool isBlocked = value.entry.service == request.service && isUsable(value, now)
+            && value.blockedUntil > now && !request.excluded.contains(id);
+        if (isBlocked) {
+            earliest = std::min(earliest.value_or(value.blockedUntil), value.blockedUntil);
+        }
+    }
+    return earliest;
+}
+
 void endpoint_pool::setPeerLoads(const std::string &peer, const endpoint_loads &loads, time_point now)
 {
     m_peers[peer] = {.loads = {loads.begin(), loads.end()}, .receivedAt = now};
@@ -156,7 +186,7 @@
     for (const auto &[id, value] : m_endpoints) {
         if (value.entry.service == service && isUsable(value, now)) {
             inFlight += totalInFlight(value, now);
-            slots += std::max(value.entry.slots, 1U) / slowdownOf(value, typical, now);
+            slots += capacityOf(value, typical.service) / slowdownOf(value, typical, now);
         }
     }
     return slots > 0 ? inFlight / slots : 0;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -54,6 +54,7 @@
     std::string affinity; // Requests with the same value run best on the same endpoint; may be empty.
     std::uint32_t outputTokens = 0; // Expected number; 0 for plain services.
     std::set<std::string> excluded; // Ids of endpoints that have already rejected the request.
+    bool unlimitedOnly = false; // Excludes endpoints with a rate limit.
 };
 
 struct placement
@@ -61,6 +62,7 @@
     std::string id;
     std::string address;
     std::chrono::duration<double, std::milli> expectedWait{0}; // Until the endpoint starts the request.
+    bool limited = false; // The endpoint states a rate limit: a permit is needed before the request may be sent.
 };
 
 // How a request at an endpoint ended.
@@ -103,6 +105,10 @@
     // Limits this daemon's connections to each endpoint of the service to an equal share among `daemons`;
     // `maxConnections` is what an endpoint accepts from all of them, 0 removes the limit.
     void setConnectionLimit(const std::string &service, std::uint32_t maxConnections, std::size_t daemons);
+    // Sets the rate limit that the endpoint states, in requests per second from all daemons; nothing removes it.
+    void setRateLimit(const std::string &id, std::optional<double> rate);
+    // Excludes an endpoint with a rate limit from selection until then: no permit is available before.
+    void blockUntil(const std::string &id, time_point when);
     void setPeerLoads(const std::string &peer, const endpoint_loads &loads, time_point now);
     void removePeer(const std::string &peer);
 
@@ -110,6 +116,8 @@
     // daemons with the same view do not all choose the same endpoint.
     [[nodiscard]] std::optional<placement> choose(const placement_request &request, double randomFraction,
                                                   time_point now) const;
+    // When the first endpoint of the service that is blocked now, and not excluded, can be selected again.
+    [[nodiscard]] std::optional<time_point> nextUnblocked(const placement_request &request, time_point now) const;
     void onDispatched(const std::string &id, time_point now);
     // `took` is the processing time at the endpoint; it is ignored unless the request was answered.
     void onFinished(const std::string &id, request_outcome outcome, std::chrono::milliseconds took, time_point now);
@@ -134,6 +142,8 @@
         time_point peakAt{};
         unsigned failures = 0; // Consecutive.
         time_point backoffUntil{};
+        std::optional<double> rateLimit; // Requests per second from all daemons.
+        time_point blockedUntil{}; // No permit to send to it is available before.
         std::optional<double> smoothedServiceMilliseconds;
         std::optional<double> smoothedEventMilliseconds; // Between two events of a stream.
         time_point lastEventAt{};
@@ -169,6 +179,8 @@
                                                        time_point now) const;
     void estimateCost(candidate &entry, const placement_request &request, const typical_times &typical,
                       time_point now) const;
+    // Requests that the endpoint processes concurrently: its slots, or fewer if its rate limit does not fill them.
+    [[nodiscard]] static double capacityOf(const endpoint &value, double serviceMilliseconds);
     static void addPrefillCost(const placement_request &request, std::vector<candidate> &candidates);
     [[nodiscard]] typical_times typicalTimes(const std::string &service) const;
     // Ratio of the endpoint's event interval to the typical one, decaying to 1 with the age of the last event. Returns
--- a/src/fleet/placement.cc
+++ b/src/fleet/placement.cc
@@ -33,14 +33,31 @@
 // A slow engine is tried again once it has not sent stream events for this long.
 constexpr std::chrono::milliseconds slowdownLifetime{4000};
 
-// Rendezvous hashing: all daemons agree on the endpoint with the highest weight for a key.
-std::uint64_t rendezvousWeight(const std::string &key, const std::string &endpoint)
+// With a rate limit an endpoint counts for at least this many slots.
+constexpr double minCapacity = 0.1;
+constexpr double millisecondsPerSecond = 1000;
+
+// Weighted rendezvous hashing: all daemons agree on the endpoint with the highest score for a key. An endpoint is
+// chosen for a share of the keys that is proportional to its weight.
+double rendezvousScore(const std::string &key, const std::string &endpoint, double weight)
 {
-    return XXH3_64bits_withSeed(endpoint.data(), endpoint.size(), XXH3_64bits(key.data(), key.size()));
+    const auto hash = XXH3_64bits_withSeed(endpoint.data(), endpoint.size(), XXH3_64bits(key.data(), key.size()));
+    constexpr double range = 18446744073709551616.0; // 2^64
+    const double fraction = (static_cast<double>(hash) + 1) / (range + 2); // In (0, 1).
+    return -weight / std::log(fraction);
 }
 
 } // namespace
 
+double endpoint_pool::capacityOf(const endpoint &value, double serviceMilliseconds)
+{
+    const double slots = std::max(value.entry.slots, 1U);
+    if (!value.rateLimit.has_value()) {
+        return slots;
+    }
+    return std::clamp(*value.rateLimit * serviceMilliseconds / millisecondsPerSecond, minCapacity, slots);
+}
+
 endpoint_pool::typical_times endpoint_pool::typicalTimes(const std::string &service) const
 {
     double sum = 0;
@@ -89,7 +106,7 @@
         if (value.entry.service == service && isUsable(value, now)) {
             indices.emplace(id, result.size());
             result.push_back({.target = &value, .inFlight = static_cast<double>(value.inFlight)});
-            totalSlots += std::max(value.entry.slots, 1U);
+            totalSlots += capacityOf(value, typical.service);
         }
     }
     double spread = 0;
@@ -107,7 +124,7 @@
         }
     }
     for (auto &entry : result) {
-        entry.inFlight += spread * std::max(entry.target->entry.slots, 1U) / totalSlots;
+        entry.inFlight += spread * capacityOf(*entry.target, typical.service) / totalSlots;
     }
     return result;
 }
@@ -117,7 +134,7 @@
 {
     const auto &value = *entry.target;
     const double inFlight = entry.inFlight;
-    const double slots = std::max(value.entry.slots, 1U);
+    const double slots = capacityOf(value, typical.service);
     const double slowdown = slowdownOf(value, typical, now);
     const bool isStream = request.outputTokens > 0;
     const double ownServiceTime =
@@ -150,15 +167,19 @@
     }
     const auto &first = request.prompt.front();
     const auto &conversation = request.prompt.size() > 1 ? request.prompt[1] : first;
-    std::ranges::sort(candidates, std::greater<>(),
-                      [&first](const candidate &entry) { return rendezvousWeight(first.id, entry.target->entry.id); });
+    const auto scoreFor = [](const prompt_segment &segment) {
+        return [&segment](const candidate &entry) {
+            // The nominal service time: daemons measure different ones, and have to agree here.
+            const auto &target = *entry.target;
+            const double weight = capacityOf(target, defaultServiceTime) / std::max(target.entry.slots, 1U);
+            return rendezvousScore(segment.id, target.entry.id, weight);
+        };
+    };
+    std::ranges::sort(candidates, std::greater<>(), scoreFor(first));
     const auto prefixHolders = (candidates.size() + endpointsPerPrefixHolder - 1) / endpointsPerPrefixHolder;
     const auto begin = candidates.begin();
     const auto end = begin + static_cast<std::ptrdiff_t>(prefixHolders);
-    const auto home = std::max_element(begin, end, [&conversation](const candidate &left, const candidate &right) {
-        return rendezvousWeight(conversation.id, left.target->entry.id)
-            < rendezvousWeight(conversation.id, right.target->entry.id);
-    });
+    const auto home = std::ranges::max_element(begin, end, std::less<>(), scoreFor(conversation));
     const double promptTokens =
         std::accumulate(request.prompt.begin(), request.prompt.end(), 0.0,
                         [](double sum, const prompt_segment &segment) { return sum + segment.tokens; });
@@ -178,7 +199,9 @@
     const auto limit = connectionLimit(request.service);
     auto candidates = estimateLoads(request.service, typical, now);
     std::erase_if(candidates, [&](const candidate &entry) {
-        return entry.target->inFlight >= limit || request.excluded.contains(entry.target->entry.id);
+        const auto &target = *entry.target;
+        return target.inFlight >= limit || target.blockedUntil > now
+            || (request.unlimitedOnly && target.rateLimit.has_value()) || request.excluded.contains(target.entry.id);
     });
     for (auto &entry : candidates) {
         estimateCost(entry, request, typical, now);
@@ -189,7 +212,7 @@
     addPrefillCost(request, candidates);
     if (!request.affinity.empty() && request.prompt.empty()) {
         const auto home = std::ranges::max_element(candidates, std::less<>(), [&](const candidate &entry) {
-            return rendezvousWeight(request.affinity, entry.target->entry.id);
+            return rendezvousScore(request.affinity, entry.target->entry.id, 1);
         });
         home->cost -= affinityBonus;
     }
@@ -204,7 +227,8 @@
     const auto &chosen = candidates[best];
     return placement{.id = chosen.target->entry.id,
                      .address = chosen.target->entry.address,
-                     .expectedWait = std::chrono::duration<double, std::milli>(chosen.wait)};
+                     .expectedWait = std::chrono::duration<double, std::milli>(chosen.wait),
+                     .limited = chosen.target->rateLimit.has_value()};
 }
 
 } // namespace jackdawpick::fleet
--- a/src/gateway/budgets.cc
+++ b/src/gateway/budgets.cc
@@ -47,9 +47,13 @@
     return context.request.tokenBudget.has_value() && !context.request.program.empty();
 }
 
-void gateway::implementation::sortByRendezvousWeight(std::vector<std::string> &daemons, const store::partition &where)
+std::string gateway::implementation::rendezvousKeyOf(const store::partition &where)
+{
+    return fmt::format("{}/{}", where.topic, where.number);
+}
+
+void gateway::implementation::sortByRendezvousWeight(std::vector<std::string> &daemons, const std::string &key)
 {
-    const auto key = fmt::format("{}/{}", where.topic, where.number);
     const auto seed = XXH3_64bits(key.data(), key.size());
     std::vector<std::pair<std::uint64_t, std::string>> weighted;
     weighted.reserve(daemons.size());
@@ -62,12 +66,17 @@
 }
 
 std::vector<std::string> gateway::implementation::rankedDeciders(const store::partition &where, time_point now) const
+{
+    return rankedDaemons(rendezvousKeyOf(where), now);
+}
+
+std::vector<std::string> gateway::implementation::rankedDaemons(const std::string &key, time_point now) const
 {
     auto names = m_peers.readyPeers(now);
     if (!m_shutdownBegan.has_value() || names.empty()) {
         names.push_back(m_options.self.name);
     }
-    sortByRendezvousWeight(names, where);
+    sortByRendezvousWeight(names, key);
     return names;
 }
 
--- a/src/gateway/dispatching.cc
+++ b/src/gateway/dispatching.cc
@@ -14,6 +14,8 @@
 
 // Dispatches per request, including those that the endpoint rejects.
 constexpr unsigned maxDispatches = 4;
+// Denied requests for a permit after which a request only goes to an endpoint without a rate limit.
+constexpr unsigned maxPermitRequests = 3;
 constexpr milliseconds noEndpointRetryDelay{300};
 constexpr milliseconds rejectedRetryDelay{400};
 // With less time left until its deadline, a request is not dispatched.
@@ -70,7 +72,8 @@
             .prompt = request.prompt,
             .affinity = request.affinity.empty() ? request.session : request.affinity,
             .outputTokens = request.maxOutputTokens,
-            .excluded = context.excludedEndpoints};
+            .excluded = context.excludedEndpoints,
+            .unlimitedOnly = context.permitsDenied >= maxPermitRequests};
 }
 
 void gateway::implementation::dispatch(request_context &context, time_point now)
@@ -82,35 +85,47 @@
     }
     const auto request = placementRequestFor(context);
     const auto chosen = m_pool.choose(request, random(), now);
-    if (!chosen.has_value()) {
+    if (chosen.has_value()) {
+        if (!chosen->limited || acquirePermit(context, *chosen, now)) {
+            sendToEndpoint(context, *chosen, now);
+        }
+    } else if (context.permitRetryAfter.has_value()) {
+        refuseRequest(context, result_code::EnginesFull, context.permitRetryAfter, now);
+    } else if (const auto available = m_pool.nextUnblocked(request, now); available.has_value()) {
+        waitForPermit(context, *available, now);
+    } else {
         refuseRequest(context, result_code::NoEndpoint, noEndpointRetryDelay, now);
-        return;
     }
-    m_pool.onDispatched(chosen->id, now);
+}
+
+void gateway::implementation::sendToEndpoint(request_context &context, const fleet::placement &chosen, time_point now)
+{
+    m_pool.onDispatched(chosen.id, now);
     context.phase = request_phase::Dispatched;
-    context.endpoint = chosen->id;
+    context.endpoint = chosen.id;
     context.dispatchedAt = now;
     context.dispatch = dispatch_id{++m_lastDispatch};
     ++context.sends;
     m_dispatches.emplace(*context.dispatch, context.id);
     logRequest(log_level::Info, "request_dispatched", context,
-               {{"endpoint", chosen->id},
+               {{"endpoint", chosen.id},
                 {"send", context.sends},
-                {"expected_wait_ms", static_cast<std::int64_t>(chosen->expectedWait.count())},
+                {"expected_wait_ms", static_cast<std::int64_t>(chosen.expectedWait.count())},
+                {"limited", chosen.limited},
                 {"configuration", context.table->source().version}},
                now);
     const bool toEngine = context.route->kind == routing::request_kind::Stream;
     m_effects.emplace_back(
         start_dispatch{.dispatch = *context.dispatch,
-                       .address = chosen->address,
-                       .endpoint = chosen->id,
+                       .address = chosen.address,
+                       .endpoint = chosen.id,
                        .attempt = context.request.attempt,
                        .method = context.request.method,
                        .host = context.request.host,
                        .target = context.request.target,
                        .headers = context.request.headers,
                        .body = context.history + context.request.body,
-                       .remaining = remaining,
+                       .remaining = millisecondsBetween(now, context.deadline),
                        .priority = toEngine ? std::optional(admission::priorityOf(urgencyOf(context))) : std::nullopt});
 }
 
--- a/src/gateway/endpoint_limits.cc
+++ b/src/gateway/endpoint_limits.cc
@@ -1,13 +1,27 @@
-// Rate limits that endpoints state.
+// Rate limits that endpoints state. One daemon issues the permits to send to such an endpoint: the one that rendezvous
+// hashing ranks first among the live daemons, so that all daemons together keep the limit.
 
 #include "gateway/internal/implementation.h"
 
+#include <algorithm>
+
 namespace jackdawpick::gateway
 {
 
 namespace
 {
 
+using std::chrono::milliseconds;
+
+// The daemon that issues permits answers from memory; a longer silence means that it is gone or overloaded.
+constexpr milliseconds permitAnswerTimeout{100};
+// Until other daemons have noticed that the one that issued permits is gone.
+constexpr milliseconds noIssuerRetryDelay{200};
+// The longest time that a turn of a program under way, or a call of a tool, waits for permits.
+constexpr milliseconds maxPermitWait{1000};
+// Spreads the requests that wait for the same permit.
+constexpr double permitWaitJitter = 20; // Milliseconds.
+
 // Value of a limit in log lines; an ended limit has none.
 log_field rateField(std::optional<double> rate)
 {
@@ -21,6 +35,7 @@
     const bool changed = head.rateLimit.has_value() ? m_limits.onStated(context.endpoint, *head.rateLimit, now)
                                                     : m_limits.onNotStated(context.endpoint, context.dispatchedAt, now);
     if (changed) {
+        useLimitOf(context.endpoint);
         logRequest(log_level::Info, "endpoint_limit_changed", context,
                    {{"endpoint", context.endpoint}, rateField(head.rateLimit), {"source", "response"}}, now);
     }
@@ -31,6 +46,7 @@
 {
     for (const auto &report : reports) {
         if (m_limits.onReport(report, now)) {
+            useLimitOf(report.endpoint);
             log(log_level::Info, "endpoint_limit_changed",
                 {{"endpoint", report.endpoint},
                  rateField(report.rate),
@@ -43,9 +59,175 @@
 void gateway::implementation::evictExpiredLimits(time_point now)
 {
     for (const auto &endpoint : m_limits.evictExpired(now)) {
+        useLimitOf(endpoint);
         log(log_level::Info, "endpoint_limit_changed",
             {{"endpoint", endpoint}, rateField(std::nullopt), {"source", "expiry"}});
     }
 }
 
+void gateway::implementation::useLimitOf(const std::string &endpoint)
+{
+    m_pool.setRateLimit(endpoint, m_limits.rateOf(endpoint));
+    m_assignPermitsAt = {};
+}
+
+// ---- Issuing permits ----
+
+std::string gateway::implementation::permitIssuerOf(const std::string &endpoint, time_point now) const
+{
+    return rankedDaemons("permits/" + endpoint, now).front();
+}
+
+// Takes over, or hands over, the endpoints whose permits this daemon issues after the live daemons have changed.
+void gateway::implementation::assignPermits(time_point now)
+{
+    if (now < m_assignPermitsAt) {
+        return;
+    }
+    m_assignPermitsAt = now + m_peers.heartbeatInterval();
+    auto limits = m_limits.inForce();
+    std::erase_if(limits,
+                  [&](const auto &limit) { return permitIssuerOf(limit.endpoint, now) != m_options.self.name; });
+    m_permits.issueFor(limits, now);
+}
+
+limits::permit_decision gateway::implementation::issuePermit(const std::string &endpoint, double reserve,
+                                                             time_point now)
+{
+    if (m_limits.hasEnded(endpoint)) {
+        return {.granted = true};
+    }
+    // A daemon that does not consider itself the issuer would issue permits in addition to those of the issuer.
+    if (permitIssuerOf(endpoint, now) != m_options.self.name) {
+        return {.granted = false, .retryAfter = noIssuerRetryDelay};
+    }
+    return m_permits.take(endpoint, reserve, now);
+}
+
+void gateway::implementation::on(link_id link, const peers::permit_request &message, time_point now)
+{
+    m_effects.emplace_back(
+        send_message{link, peers::permit_reply{message.id, issuePermit(message.endpoint, message.reserve, now)}});
+}
+
+// ---- Requesting permits ----
+
+bool gateway::implementation::acquirePermit(request_context &context, const fleet::placement &chosen, time_point now)
+{
+    const double reserve = admission::permitReserveOf(urgencyOf(context));
+    const auto issuer = permitIssuerOf(chosen.id, now);
+    if (issuer == m_options.self.name) {
+        const auto decision = issuePermit(chosen.id, reserve, now);
+        if (!decision.granted) {
+            onPermitDenied(context, chosen.id, decision.retryAfter, now);
+        }
+        return decision.granted;
+    }
+    const auto link = m_peers.linkTo(issuer);
+    if (!link.has_value()) {
+        onPermitDenied(context, chosen.id, noIssuerRetryDelay, now);
+        return false;
+    }
+    context.permitPending = true;
+    m_pendingPermits.emplace(++m_lastPeerRequest, pending_permit{context.id, chosen, *link, now + permitAnswerTimeout});
+    m_effects.emplace_back(send_message{*link, peers::permit_request{m_lastPeerRequest, chosen.id, reserve}});
+    return false;
+}
+
+void gateway::implementation::on(link_id /*link*/, const peers::permit_reply &message, time_point now)
+{
+    const auto node = m_pendingPermits.extract(message.id);
+    auto *context = node ? findRequest(node.mapped().caller) : nullptr;
+    if (context == nullptr || !context->permitPending) {
+        return;
+    }
+    context->permitPending = false;
+    const auto &chosen = node.mapped().chosen;
+    if (message.decision.granted) {
+        sendToEndpoint(*context, chosen, now);
+    } else {
+        onPermitDenied(*context, chosen.id, message.decision.retryAfter, now);
+    }
+}
+
+// Places the request again without this endpoint. A denial to a first turn says nothing about other requests, for which
+// the remaining permits are reserved.
+void gateway::implementation::onPermitDenied(request_context &context, const std::string &endpoint,
+                                             milliseconds retryAfter, time_point now)
+{
+    logRequest(log_level::Info, "permit_denied", context,
+               {{"endpoint", endpoint},
+                rateField(m_limits.rateOf(endpoint)),
+                {"issuer", permitIssuerOf(endpoint, now)},
+                {"retry_after_ms", retryAfter.count()}},
+               now);
+    m_effects.emplace_back(increment_counter{metric::EndpointPermitsDenied, context.service, {}});
+    ++context.permitsDenied;
+    if (context.firstTurn) {
+        context.excludedEndpoints.insert(endpoint);
+        context.permitRetryAfter = std::min(context.permitRetryAfter.value_or(retryAfter), retryAfter);
+    } else {
+        m_pool.blockUntil(endpoint, now + retryAfter);
+    }
+    dispatch(context, now);
+}
+
+// First turns are refused at once, so that the permits are left to programs under way.
+void gateway::implementation::waitForPermit(request_context &context, time_point availableAt, time_point now)
+{
+    const auto retryAfter = millisecondsBetween(now, availableAt);
+    const auto began = context.waitingForPermitSince.value_or(now);
+    if (context.firstTurn || availableAt >= std::min(context.deadline, began + maxPermitWait)) {
+        refuseRequest(context, result_code::EnginesFull, retryAfter, now);
+        return;
+    }
+    context.waitingForPermitSince = began;
+    context.permitsDenied = 0;
+    const milliseconds jitter(static_cast<std::int64_t>(permitWaitJitter * random()));
+    m_waitingForPermit.emplace(availableAt + jitter, context.id);
+}
+
+void gateway::implementation::dispatchWaiting(time_point now)
+{
+    abandonPermitRequests([now](const pending_permit &pending) { return pending.deadline <= now; }, now);
+    while (!m_waitingForPermit.empty() && m_waitingForPermit.begin()->first <= now) {
+        const auto caller = m_waitingForPermit.begin()->second;
+        m_waitingForPermit.erase(m_waitingForPermit.begin());
+        if (auto *context = findRequest(caller); context != nullptr) {
+            dispatch(*context, now);
+        }
+    }
+}
+
+void gateway::implementation::abandonPermitRequests(const std::function<bool(const pending_permit &)> &isAbandoned,
+                                                    time_point now)
+{
+    std::vector<pending_permit> abandoned;
+    std::erase_if(m_pendingPermits, [&](const auto &entry) {
+        if (!isAbandoned(entry.second)) {
+            return false;
+        }
+        abandoned.push_back(entry.second);
+        return true;
+    });
+    for (const auto &pending : abandoned) {
+        if (auto *context = findRequest(pending.caller); context != nullptr && context->permitPending) {
+            context->permitPending = false;
+            onPermitDenied(*context, pending.chosen.id, noIssuerRetryDelay, now);
+        }
+    }
+}
+
+std::optional<time_point> gateway::implementation::nextPermitDeadline() const
+{
+    std::optional<time_point> earliest;
+    if (!m_waitingForPermit.empty()) {
+        earliest = m_waitingForPermit.begin()->first;
+    }
+    for (const auto &[id, pending] : m_pendingPermits) {
+        earliest = std::min(earliest.value_or(pending.deadline), pending.deadline);
+    }
+    return earliest;
+}
+
 } // namespace jackdawpick::gateway
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -99,6 +99,14 @@
         time_point deadline;
     };
 
+    struct pending_permit
+    {
+        caller_id caller{};
+        fleet::placement chosen;
+        link_id link{};
+        time_point deadline;
+    };
+
     [[nodiscard]] static bool hasBudget(const request_context &context);
     void requestReservation(request_context &context, time_point now);
     [[nodiscard]] std::chrono::milliseconds decisionTimeout() const;
@@ -127,8 +135,11 @@
     void evictIdleBudgets(time_point now);
     [[nodiscard]] programs::unwritten_records unwrittenBudgetRecords() const;
     [[nodiscard]] std::optional<time_point> nextBudgetDeadline() const;
-    // Sorts daemons by their rendezvous hashes for the partition, the largest first.
-    static void sortByRendezvousWeight(std::vector<std::string> &daemons, const store::partition &where);
+    // The live daemons, this one included, by their rendezvous hashes for the key, the largest first.
+    [[nodiscard]] std::vector<std::string> rankedDaemons(const std::string &key, time_point now) const;
+    [[nodiscard]] static std::string rendezvousKeyOf(const store::partition &where);
+    // Sorts daemons by their rendezvous hashes for the key, the largest first.
+    static void sortByRendezvousWeight(std::vector<std::string> &daemons, const std::string &key);
     [[nodiscard]] std::vector<std::string> rankedDeciders(const store::partition &where, time_point now) const;
     [[nodiscard]] std::string turnHolder(const std::string &turn) const;
     programs::budget_partition &budgetsOf(const store::partition &where);
@@ -177,6 +188,7 @@
 
     // dispatching.cc
     void dispatch(request_context &context, time_point now);
+    void sendToEndpoint(request_context &context, const fleet::placement &chosen, time_point now);
     void releaseEndpoint(request_context &context, fleet::request_outcome outcome, time_point now);
     void onRejected(request_context &context, const response_head &head, time_point now);
     void startForwarding(request_context &context, response_head &head);
@@ -193,6 +205,22 @@
     void recordLimit(const request_context &context, const response_head &head, time_point now);
     void applyLimitReports(const std::string &peer, const std::vector<limits::limit_report> &reports, time_point now);
     void evictExpiredLimits(time_point now);
+    void useLimitOf(const std::string &endpoint);
+    // Asks for permission to send the request to an endpoint with a rate limit. Returns whether it may be sent now;
+    // otherwise the request goes on when the answer arrives.
+    bool acquirePermit(request_context &context, const fleet::placement &chosen, time_point now);
+    void onPermitDenied(request_context &context, const std::string &endpoint, std::chrono::milliseconds retryAfter,
+                        time_point now);
+    void waitForPermit(request_context &context, time_point availableAt, time_point now);
+    [[nodiscard]] limits::permit_decision issuePermit(const std::string &endpoint, double reserve, time_point now);
+    void dispatchWaiting(time_point now);
+    [[nodiscard]] std::optional<time_point> nextPermitDeadline() const;
+    void abandonPermitRequests(const std::function<bool(const pending_permit &)> &isAbandoned, time_point now);
+    void assignPermits(time_point now);
+    // The daemon that issues the permits of the endpoint: all daemons with the same view of the others name the same.
+    [[nodiscard]] std::string permitIssuerOf(const std::string &endpoint, time_point now) const;
+    void on(link_id link, const peers::permit_request &message, time_point now);
+    void on(link_id link, const peers::permit_reply &message, time_point now);
 
     // platform_state.cc
     void startStoreCall(internal::store_call_owner owner, store::call call, time_point now);
@@ -234,6 +262,10 @@
     fleet::endpoint_pool m_pool;
     crashes::crash_tracker m_crashes;
     limits::limit_table m_limits;
+    limits::permit_issuer m_permits;
+    std::map<std::uint64_t, pending_permit> m_pendingPermits; // By the id of the message.
+    std::set<std::pair<time_point, caller_id>> m_waitingForPermit; // Requests, and when they are dispatched again.
+    time_point m_assignPermitsAt{};
     store::partition_log m_log;
     std::map<store::partition, programs::budget_partition>
         m_budgets; // Partitions for which this daemon decides or has decided.
--- a/src/gateway/internal/request_context.h
+++ b/src/gateway/internal/request_context.h
@@ -67,6 +67,10 @@
     programs::turn_chain chain; // Where that text lies in the log.
     std::optional<history_read> historyRead; // Set while the records of the chain are read.
 
+    bool permitPending = false; // Waits for the answer to its request for a permit.
+    unsigned permitsDenied = 0; // Since the request was last placed without one.
+    std::optional<std::chrono::milliseconds> permitRetryAfter; // The shortest time told with a denial to a first turn.
+    std::optional<time_point> waitingForPermitSince;
     std::optional<dispatch_id> dispatch;
     std::string endpoint;
     time_point dispatchedAt;
--- a/src/gateway/platform_state.cc
+++ b/src/gateway/platform_state.cc
@@ -72,6 +72,7 @@
     m_log.tick(now);
     tickBudgets(now);
     trimDuePartitions(now);
+    dispatchWaiting(now);
     for (const auto link : m_store.tick(now)) {
         m_peers.markStoreUnreachable(link);
     }
@@ -96,6 +97,7 @@
     consider(m_log.nextDeadline());
     consider(nextBudgetDeadline());
     consider(nextTrimCheck());
+    consider(nextPermitDeadline());
     consider(m_store.nextDeadline());
     consider(m_peers.nextDeadline());
     for (const auto &watch : m_watches) {
@@ -357,7 +359,9 @@
             log(log_level::Warning, "endpoint_unreadable", {{"key", record.key}, {"offset", record.offset}});
             continue;
         }
-        if (m_pool.upsert(*entry, now)) {
+        const bool isChanged = m_pool.upsert(*entry, now);
+        m_pool.setRateLimit(entry->id, m_limits.rateOf(entry->id));
+        if (isChanged) {
             log(log_level::Info, "endpoint_changed",
                 {{"endpoint", entry->id},
                  {"service", entry->service},
@@ -424,6 +428,7 @@
 {
     m_store.onLinkClosed(received.link);
     abandonPeerRequests(received.link, now);
+    abandonPermitRequests([&](const pending_permit &pending) { return pending.link == received.link; }, now);
     const auto name = m_peers.onClosed(received.link, now);
     if (!name.empty()) {
         log(log_level::Warning, "peer_link_closed", {{"peer", name}});
@@ -446,6 +451,7 @@
     if (m_peers.aliveCount(now) + 1 != m_connectionSharers) {
         applyConnectionLimits(now);
     }
+    assignPermits(now);
     if (auto reports = m_crashes.takeReports(); !reports.empty()) {
         m_peers.broadcast(peers::run_reports{std::move(reports)}, m_effects);
     }
--- a/src/gateway/testing/gateway_world.cc
+++ b/src/gateway/testing/gateway_world.cc
@@ -303,7 +303,12 @@
         return;
     }
     if (behaviour == endpoint_behaviour::Rejects) {
-        respond(0ms, response_head{.dispatch = output.dispatch, .status = 503, .notExecuted = true, .headers = {}});
+        respond(0ms,
+                response_head{.dispatch = output.dispatch,
+                              .status = 503,
+                              .notExecuted = true,
+                              .rateLimit = rateLimitOf(output.endpoint),
+                              .headers = {}});
         return;
     }
     runs.push_back({output.endpoint, output.attempt, output.body, now()});
@@ -333,6 +338,7 @@
             response_head{.dispatch = output.dispatch,
                           .status = 200,
                           .hasEndpointSignature = true,
+                          .rateLimit = rateLimitOf(output.endpoint),
                           .headers = headers,
                           .contentLength = length});
     const int sentPieces = behaviour == endpoint_behaviour::TruncatesResponse ? pieceCount / 2 : pieceCount;
@@ -361,6 +367,29 @@
     cancelledAttempts.push_back(m_attempts.at({daemon, output.dispatch}));
 }
 
+std::optional<double> gateway_world::rateLimitOf(const std::string &endpoint) const
+{
+    const auto found = endpointLimits.find(endpoint);
+    return found == endpointLimits.end() ? std::nullopt : std::optional(found->second);
+}
+
+int gateway_world::mostRunsWithin(const std::string &endpoint, milliseconds period, time_point start) const
+{
+    std::deque<time_point> recent;
+    std::size_t most = 0;
+    for (const auto &run : runs) {
+        if (run.endpoint != endpoint || run.at < start) {
+            continue;
+        }
+        recent.push_back(run.at);
+        while (recent.front() <= run.at - period) {
+            recent.pop_front();
+        }
+        most = std::max(most, recent.size());
+    }
+    return static_cast<int>(most);
+}
+
 int gateway_world::runsOf(const std::string &attempt) const
 {
     return static_cast<int>(std::ranges::count(runs, attempt, &endpoint_run::attempt));
--- a/src/gateway/testing/gateway_world.h
+++ b/src/gateway/testing/gateway_world.h
@@ -124,6 +124,9 @@
     // The most recent log line of any daemon with this event, without time and level; empty if there is none.
     [[nodiscard]] std::string lastLogLineOf(std::string_view event) const;
     [[nodiscard]] int runsOf(const std::string &attempt) const;
+    // The largest number of requests that the endpoint ran in a period of this length, of those run from `start` on.
+    [[nodiscard]] int mostRunsWithin(const std::string &endpoint, std::chrono::milliseconds period,
+                                     time_point start) const;
     [[nodiscard]] std::size_t recordCount(std::string_view topicPrefix) const;
     // Bytes of the records that these topics hold.
     [[nodiscard]] std::size_t storedBytes(std::string_view topicPrefix) const;
@@ -132,6 +135,7 @@
 
     std::map<int, store_behaviour> storeBehaviours; // By daemon.
     std::map<std::string, endpoint_behaviour> endpointBehaviours; // By id; Responds if missing.
+    std::map<std::string, double> endpointLimits; // Rate limits that endpoints state, by id.
     std::map<std::string, endless_response> endlessResponses; // By endpoint id; precede the behaviour.
     std::size_t endlessBytes = 0; // Sent in endless responses.
     std::set<std::string> unavailableTopics; // The store never replies to calls for these topics.
@@ -197,6 +201,7 @@
     void on(int daemon, const close_idle_connections &output);
     void on(int daemon, const stop_process &output);
 
+    [[nodiscard]] std::optional<double> rateLimitOf(const std::string &endpoint) const;
     void runAtEndpoint(int daemon, int incarnation, const start_dispatch &output);
     void sendWithoutEnd(int daemon, int incarnation, dispatch_id dispatch, const std::string &piece);
     store::reply execute(const store::call &call);
--- a/src/gateway/turn_trimming.cc
+++ b/src/gateway/turn_trimming.cc
@@ -104,7 +104,7 @@
         auto names = rankedDeciders(where, now);
         if (std::ranges::find(names, peer) == names.end()) { // Not ready yet.
             names.push_back(peer);
-            sortByRendezvousWeight(names, where);
+            sortByRendezvousWeight(names, rendezvousKeyOf(where));
         }
         names.resize(std::min(names.size(), trimmersPerPartition));
         return std::ranges::find(names, peer) != names.end();
--- a/src/limits/limit_table.cc
+++ b/src/limits/limit_table.cc
@@ -50,6 +50,12 @@
     return apply(report.endpoint, {.rate = report.rate, .at = now - report.age});
 }
 
+bool limit_table::hasEnded(const std::string &endpoint) const
+{
+    const auto found = m_endpoints.find(endpoint);
+    return found != m_endpoints.end() && !found->second.latest.rate.has_value();
+}
+
 std::optional<double> limit_table::rateOf(const std::string &endpoint) const
 {
     const auto found = m_endpoints.find(endpoint);
--- a/src/limits/limits.h
+++ b/src/limits/limits.h
@@ -56,6 +56,8 @@
     // A peer's report about its own responses. Returns whether the limit in force changed.
     bool onReport(const limit_report &report, time_point now);
 
+    // Whether the endpoint stated a limit before and has none now.
+    [[nodiscard]] bool hasEnded(const std::string &endpoint) const;
     // Requests per second; nothing if the endpoint has no limit.
     [[nodiscard]] std::optional<double> rateOf(const std::string &endpoint) const;
     [[nodiscard]] std::vector<endpoint_limit> inForce() const;
--- a/src/metrics/metrics.cc
+++ b/src/metrics/metrics.cc
@@ -76,6 +76,8 @@
         "Log lines that standard output did not take in time."},
     row{metric::EndpointFailures, "jackdawpick_endpoint_failures_total", Counter, "attempts", "service,how",
         "Attempts that an endpoint rejected or did not answer; how is rejected, not_sent, lost or timed_out."},
+    row{metric::EndpointPermitsDenied, "jackdawpick_endpoint_permits_denied_total", Counter, "permits", "service",
+        "Permits to send to an endpoint with a rate limit that this daemon asked for and did not get."},
     row{metric::Requests, "jackdawpick_requests_total", Counter, "requests", "route,outcome",
         "Requests on the platform that have ended; outcomes as in the log line request_finished."},
     row{metric::StoreCallSeconds, "jackdawpick_store_call_seconds", Quantiles, "s", "call",
--- a/src/metrics/metrics.h
+++ b/src/metrics/metrics.h
@@ -60,6 +60,7 @@
     EndpointsLimited,
     DroppedLogLines,
     EndpointFailures,
+    EndpointPermitsDenied,
     Requests,
     StoreCallSeconds,
     RequestSeconds,
--- a/src/peers/internal/peer_messages_generated.h
+++ b/src/peers/internal/peer_messages_generated.h
@@ -67,6 +67,12 @@
 struct RunReports;
 struct RunReportsBuilder;
 
+struct PermitRequest;
+struct PermitRequestBuilder;
+
+struct PermitReply;
+struct PermitReplyBuilder;
+
 struct Message;
 struct MessageBuilder;
 
@@ -167,11 +173,13 @@
   TurnReply = 9,
   RunReports = 10,
   TurnMark = 11,
+  PermitRequest = 12,
+  PermitReply = 13,
   MIN = NONE,
-  MAX = TurnMark
+  MAX = PermitReply
 };
 
-inline const Body (&EnumValuesBody())[12] {
+inline const Body (&EnumValuesBody())[14] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -184,13 +192,15 @@
     Body::TurnRequest,
     Body::TurnReply,
     Body::RunReports,
-    Body::TurnMark
+    Body::TurnMark,
+    Body::PermitRequest,
+    Body::PermitReply
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[13] = {
+  static const char * const names[15] = {
     "NONE",
     "Hello",
     "Beat",
@@ -203,13 +213,15 @@
     "TurnReply",
     "RunReports",
     "TurnMark",
+    "PermitRequest",
+    "PermitReply",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::TurnMark)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::PermitReply)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -262,6 +274,14 @@
   static const Body enum_value = Body::TurnMark;
 };
 
+template<> struct BodyTraits<jackdawpick::peers::fbs::PermitRequest> {
+  static const Body enum_value = Body::PermitRequest;
+};
+
+template<> struct BodyTraits<jackdawpick::peers::fbs::PermitReply> {
+  static const Body enum_value = Body::PermitReply;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -1825,6 +1845,143 @@
       reports__);
 }
 
+struct PermitRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PermitRequestBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_ENDPOINT = 6,
+    VT_RESERVE = 8
+  };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
+  const flatbuffers::String *endpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
+  }
+  double reserve() const {
+    return GetField<double>(VT_RESERVE, 0.0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyOffsetRequired(verifier, VT_ENDPOINT) &&
+           verifier.VerifyString(endpoint()) &&
+           VerifyField<double>(verifier, VT_RESERVE, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct PermitRequestBuilder {
+  typedef PermitRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(PermitRequest::VT_ID, id, 0);
+  }
+  void add_endpoint(flatbuffers::Offset<flatbuffers::String> endpoint) {
+    fbb_.AddOffset(PermitRequest::VT_ENDPOINT, endpoint);
+  }
+  void add_reserve(double reserve) {
+    fbb_.AddElement<double>(PermitRequest::VT_RESERVE, reserve, 0.0);
+  }
+  explicit PermitRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PermitRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PermitRequest>(end);
+    fbb_.Required(o, PermitRequest::VT_ENDPOINT);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PermitRequest> CreatePermitRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    flatbuffers::Offset<flatbuffers::String> endpoint = 0,
+    double reserve = 0.0) {
+  PermitRequestBuilder builder_(_fbb);
+  builder_.add_reserve(reserve);
+  builder_.add_id(id);
+  builder_.add_endpoint(endpoint);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<PermitRequest> CreatePermitRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    const char *endpoint = nullptr,
+    double reserve = 0.0) {
+  auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
+  return jackdawpick::peers::fbs::CreatePermitRequest(
+      _fbb,
+      id,
+      endpoint__,
+      reserve);
+}
+
+struct PermitReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PermitReplyBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_GRANTED = 6,
+    VT_RETRY_AFTER_MS = 8
+  };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
+  bool granted() const {
+    return GetField<uint8_t>(VT_GRANTED, 0) != 0;
+  }
+  uint32_t retry_after_ms() const {
+    return GetField<uint32_t>(VT_RETRY_AFTER_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyField<uint8_t>(verifier, VT_GRANTED, 1) &&
+           VerifyField<uint32_t>(verifier, VT_RETRY_AFTER_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct PermitReplyBuilder {
+  typedef PermitReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(PermitReply::VT_ID, id, 0);
+  }
+  void add_granted(bool granted) {
+    fbb_.AddElement<uint8_t>(PermitReply::VT_GRANTED, static_cast<uint8_t>(granted), 0);
+  }
+  void add_retry_after_ms(uint32_t retry_after_ms) {
+    fbb_.AddElement<uint32_t>(PermitReply::VT_RETRY_AFTER_MS, retry_after_ms, 0);
+  }
+  explicit PermitReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PermitReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PermitReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PermitReply> CreatePermitReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    bool granted = false,
+    uint32_t retry_after_ms = 0) {
+  PermitReplyBuilder builder_(_fbb);
+  builder_.add_id(id);
+  builder_.add_retry_after_ms(retry_after_ms);
+  builder_.add_granted(granted);
+  return builder_.Finish();
+}
+
 struct Message FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef MessageBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1871,6 +2028,12 @@
   const jackdawpick::peers::fbs::TurnMark *body_as_TurnMark() const {
     return body_type() == jackdawpick::peers::fbs::Body::TurnMark ? static_cast<const jackdawpick::peers::fbs::TurnMark *>(body()) : nullptr;
   }
+  const jackdawpick::peers::fbs::PermitRequest *body_as_PermitRequest() const {
+    return body_type() == jackdawpick::peers::fbs::Body::PermitRequest ? static_cast<const jackdawpick::peers::fbs::PermitRequest *>(body()) : nullptr;
+  }
+  const jackdawpick::peers::fbs::PermitReply *body_as_PermitReply() const {
+    return body_type() == jackdawpick::peers::fbs::Body::PermitReply ? static_cast<const jackdawpick::peers::fbs::PermitReply *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -1924,6 +2087,14 @@
   return body_as_TurnMark();
 }
 
+template<> inline const jackdawpick::peers::fbs::PermitRequest *Message::body_as<jackdawpick::peers::fbs::PermitRequest>() const {
+  return body_as_PermitRequest();
+}
+
+template<> inline const jackdawpick::peers::fbs::PermitReply *Message::body_as<jackdawpick::peers::fbs::PermitReply>() const {
+  return body_as_PermitReply();
+}
+
 struct MessageBuilder {
   typedef Message Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2005,6 +2176,14 @@
       auto ptr = reinterpret_cast<const jackdawpick::peers::fbs::TurnMark *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::PermitRequest: {
+      auto ptr = reinterpret_cast<const jackdawpick::peers::fbs::PermitRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::PermitReply: {
+      auto ptr = reinterpret_cast<const jackdawpick::peers::fbs::PermitReply *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/src/peers/peers.cc
+++ b/src/peers/peers.cc
@@ -208,6 +208,18 @@
         .Union();
 }
 
+body_offset encode(buffer_builder &out, const permit_request &value)
+{
+    return fbs::CreatePermitRequest(out, value.id, out.CreateString(value.endpoint), value.reserve).Union();
+}
+
+body_offset encode(buffer_builder &out, const permit_reply &value)
+{
+    return fbs::CreatePermitReply(out, value.id, value.decision.granted,
+                                  static_cast<std::uint32_t>(value.decision.retryAfter.count()))
+        .Union();
+}
+
 body_offset encode(buffer_builder &out, const turn_reply &value)
 {
     const auto history = encodeBytes(out, value.history);
@@ -360,7 +372,7 @@
     return value;
 }
 
-std::optional<message> decodeBudgetOrTurn(const fbs::Message &root)
+std::optional<message> decodeRequestOrReply(const fbs::Message &root)
 {
     if (const auto *body = root.body_as_BudgetRequest()) {
         return budget_request{body->id(),     decode(body->program()), decode(body->attempt()),
@@ -388,6 +400,12 @@
     if (const auto *body = root.body_as_RunReports()) {
         return decode(*body);
     }
+    if (const auto *body = root.body_as_PermitRequest()) {
+        return permit_request{body->id(), decode(body->endpoint()), body->reserve()};
+    }
+    if (const auto *body = root.body_as_PermitReply()) {
+        return permit_reply{body->id(), {body->granted(), std::chrono::milliseconds(body->retry_after_ms())}};
+    }
     return std::nullopt;
 }
 
@@ -424,7 +442,7 @@
     if (const auto *body = root->body_as_StoreReply()) {
         return decode(*body);
     }
-    return decodeBudgetOrTurn(*root);
+    return decodeRequestOrReply(*root);
 }
 
 } // namespace jackdawpick::peers
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -131,8 +131,24 @@
     bool operator==(const turn_mark &) const = default;
 };
 
+// Asks the daemon that issues the permits of an endpoint with a rate limit for one.
+struct permit_request
+{
+    std::uint64_t id = 0; // Chosen by the sender, unique on the link.
+    std::string endpoint;
+    double reserve = 0; // Permits that must remain for more urgent requests.
+    bool operator==(const permit_request &) const = default;
+};
+
+struct permit_reply
+{
+    std::uint64_t id = 0;
+    limits::permit_decision decision;
+    bool operator==(const permit_reply &) const = default;
+};
+
 using message = std::variant<hello, heartbeat, store_request, store_response, budget_request, budget_reply, budget_use,
-                             turn_request, turn_reply, run_reports, turn_mark>;
+                             turn_request, turn_reply, run_reports, turn_mark, permit_request, permit_reply>;
 
 [[nodiscard]] std::string encodeMessage(const message &value);
 // Returns nothing if the bytes are not a valid message.
--- a/src/peers/peers_test.cc
+++ b/src/peers/peers_test.cc
@@ -41,7 +41,10 @@
         turn_reply{7, true, binary},
         turn_reply{7, true, binary, {{79, 11, 17000, 1U << 20U}, {1, 2, 3, 4}}, 1500ms, 252},
         run_reports{{{8, "e1"}, {9, ""}}},
-        turn_mark{where, 1U << 20U, true, 1500ms}};
+        turn_mark{where, 1U << 20U, true, 1500ms},
+        permit_request{9, "e1", 1.5},
+        permit_reply{9, {false, 250ms}},
+        permit_reply{10, {true, 0ms}}};
 }
 
 } // namespace
