Repeat idempotent requests under way when the paths to the endpoints are lost

Calls of tools that a host had sent in the first 0.75 s of a cut waited for endpoints whose response could not arrive, until their deadline of 1.2 s; a program fails with one failed call. When the paths are found lost, those that may run more than once, for which nothing was received and which have an attempt left are cancelled here and sent through a peer. All others keep waiting: their endpoints may have run them.

Test: LostPaths.IdempotentRequestsUnderWayAreRepeatedThroughAPeer serves 8 of 8, 0 of 8 without the call. The fixture of the cancel tests forgets what was cancelled before the test begins, since its own early requests are now cancelled too.

--- a/src/gateway/dispatching.cc
+++ b/src/gateway/dispatching.cc
@@ -332,7 +332,7 @@
                {{"endpoint", context.endpoint},
                 {"how", nameOf(outcome)},
                 {"relayed", context.relay.has_value()},
-                {"at_peer", where == failure_site::Peer},
+                {"path_lost", where == failure_site::Path},
                 {"send", context.sends},
                 {"answered", context.responseStarted}},
                now);
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -202,7 +202,7 @@
     // Where a dispatch failed.
     enum class failure_site : std::uint8_t {
         Endpoint,
-        Peer, // That was to send it; this is no evidence about the endpoint.
+        Path, // To the endpoint, or the peer that was to send it; no evidence about the endpoint.
     };
 
     void onDispatchFailed(request_context &context, dispatch_outcome outcome, failure_site where, time_point now);
@@ -268,6 +268,7 @@
     void on(link_id link, const peers::relayed_cancel &message, time_point now);
     void cancelRelayedFor(link_id link);
     void checkPaths(time_point now);
+    void repeatUnanswered(time_point now);
     [[nodiscard]] bool isSilent(time_point now) const;
 
     // platform_state.cc
--- a/src/gateway/relaying.cc
+++ b/src/gateway/relaying.cc
@@ -80,6 +80,29 @@
          {"relays", relays}});
     m_pool.forgetFailures();
     m_heartbeatDue = true;
+    if (lost) {
+        repeatUnanswered(now);
+    }
+}
+
+// Sends the requests that may run more than once through a peer, if nothing was received for them. All others keep
+// waiting: their endpoints may have run them, and the paths may be back before their deadline.
+void gateway::implementation::repeatUnanswered(time_point now)
+{
+    std::vector<caller_id> callers;
+    for (const auto &[dispatch, caller] : m_dispatches) {
+        const auto &context = m_requests.at(caller);
+        const bool isOpenHere = !context.relay.has_value() && !context.heardFromEndpoint;
+        // The failure that is still to be counted uses up one attempt.
+        if (isOpenHere && canRetry(context, now) && context.attempts + 1 < context.route->maxAttempts) {
+            callers.push_back(caller);
+        }
+    }
+    for (const auto caller : callers) {
+        auto &context = m_requests.at(caller);
+        cancelDispatch(context);
+        onDispatchFailed(context, dispatch_outcome::Lost, failure_site::Path, now);
+    }
 }
 
 // ---- At the daemon that serves the caller ----
@@ -151,7 +174,7 @@
         on(dispatch_finished{dispatch_id{message.id}, message.outcome}, now);
     } else {
         context->refusingPeers.insert(m_peers.nameOf(link));
-        onDispatchFailed(*context, dispatch_outcome::NotSent, failure_site::Peer, now);
+        onDispatchFailed(*context, dispatch_outcome::NotSent, failure_site::Path, now);
     }
 }
 
@@ -166,7 +189,7 @@
     }
     for (const auto caller : callers) {
         if (auto *context = findRequest(caller); context != nullptr) {
-            onDispatchFailed(*context, dispatch_outcome::Lost, failure_site::Peer, now);
+            onDispatchFailed(*context, dispatch_outcome::Lost, failure_site::Path, now);
         }
     }
 }
--- a/src/gateway/relaying_test.cc
+++ b/src/gateway/relaying_test.cc
@@ -134,6 +134,7 @@
         }
         world.runFor(1s);
         EXPECT_EQ(world.logLinesOf("endpoints_lost"), 1);
+        world.cancelledAttempts.clear();
     }
 
     gateway_world world{{.daemons = 2, .engineEndpoints = 3, .shopEndpoints = 3, .eventInterval = 100ms}};
@@ -221,6 +222,24 @@
     EXPECT_EQ(world.core(0).directory(world.now()), std::vector<std::string>{"caller-0"});
 }
 
+// Guards against requests that may run twice and still wait for endpoints that no response can come from.
+TEST(LostPaths, IdempotentRequestsUnderWayAreRepeatedThroughAPeer)
+{
+    gateway_world world({.daemons = 2, .shopEndpoints = 4, .serviceTime = 100ms});
+    world.warmUp();
+    std::vector<const caller_response *> reads;
+    for (int i = 0; i < 8; ++i) {
+        reads.push_back(&world.send(0, shopRequest("/read/x", fmt::format("read-{}", i))));
+    }
+    const auto &payment = world.send(0, shopRequest("/pay/x", "pay"));
+    world.runFor(20ms);
+    world.endpointPaths[0] = path_behaviour::Hangs;
+    world.runFor(3s);
+    EXPECT_EQ(std::ranges::count(reads, 200, &caller_response::status), 8);
+    EXPECT_EQ(world.runsOf("pay"), 1);
+    EXPECT_FALSE(payment.status == 503 || payment.status == 429); // Either says that the request has not run.
+}
+
 // Guards against a second of silence of sound endpoints that is taken for a lost path.
 TEST(Silence, OfSoundEndpointsIsNoLostPath)
 {
