Split platform_state.cc and gateway_world.cc by subject

The links to other daemons and the shutdown have files of their own now, and so have the endpoints of the simulated world. No logic is changed; gateway_test and relaying_test pass.

--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -1,10 +1,10 @@
 #pragma once
 
 // The state and the event handlers of the gateway, grouped by file: requests.cc (arrival, refusal, completion),
-// budgets.cc (reservations), turns.cc (histories), turn_writes.cc (their records), turn_trimming.cc
-// (deletion of these), dispatching.cc (endpoints), endpoint_limits.cc (their rate limits), relaying.cc (through
-// peers), platform_state.cc (store,
-// watches, peers).
+// budgets.cc (reservations), turns.cc (histories), turn_writes.cc (their records), turn_trimming.cc (deletion of
+// these), dispatching.cc (endpoints), endpoint_limits.cc (their rate limits), relaying.cc (paths to them, dispatch
+// through peers), platform_state.cc (store, watches, reports), peer_links.cc (the other daemons), shutdown.cc
+// (readiness and shutdown).
 
 #include "admission/admission.h"
 #include "gateway/gateway.h"
--- a/src/gateway/platform_state.cc
+++ b/src/gateway/platform_state.cc
@@ -1,4 +1,4 @@
-// The durable log, the watches on its partitions, and the other daemons.
+// The durable log, the watches on its partitions, and the reports of the daemon's state.
 
 #include "gateway/internal/implementation.h"
 
@@ -31,11 +31,6 @@
 // Removals are taken for expiry only if at least one in this many entries is removed at the same time.
 constexpr std::size_t expiredShareDivisor = 3;
 constexpr seconds housekeepingInterval{5};
-// Callers cache the list of addresses, so requests keep arriving after this daemon has left the list.
-constexpr milliseconds minShutdownTime{3200};
-constexpr milliseconds idleCloseLeadTime{200};
-// Time for the end of the last response to be written.
-constexpr milliseconds lastResponseFlushTime{250};
 
 internal::keyed_watch makeWatch(const store::partition &where, milliseconds pollInterval, milliseconds longPollTimeout)
 {
@@ -394,117 +389,7 @@
     }
 }
 
-// ---- Peers ----
-
-void gateway::implementation::on(const link_opened &received, time_point now)
-{
-    m_peers.onOpened(received, ownHeartbeat(now), m_effects);
-    if (!received.incoming) {
-        sendTurnMarks(received.link, now);
-    }
-}
-
-void gateway::implementation::on(const link_message &received, time_point now)
-{
-    std::visit([&](const auto &message) { on(received.link, message, now); }, received.content);
-}
-
-void gateway::implementation::on(link_id link, const peers::hello &message, time_point now)
-{
-    m_peers.onHello(link, message, now);
-}
-
-void gateway::implementation::on(link_id link, const peers::heartbeat &message, time_point now)
-{
-    const auto peer = m_peers.nameOf(link);
-    m_peers.onHeartbeat(link, message, now);
-    m_pool.setPeerLoads(peer, message.loads, now);
-    applyLimitReports(peer, message.limits, now);
-}
-
-void gateway::implementation::on(link_id /*link*/, const peers::run_reports &message, time_point now)
-{
-    std::ranges::for_each(message.reports, [&](const auto &report) { m_crashes.onReport(report, now); });
-}
-
-void gateway::implementation::on(link_id link, const peers::store_request &message, time_point now)
-{
-    startStoreCall(internal::peer_owner{link, message.id}, message.what, now);
-}
-
-void gateway::implementation::on(link_id link, const peers::store_response &message, time_point /*now*/)
-{
-    if (!m_store.onRelayReply(link, message)) {
-        m_peers.markStoreUnreachable(link);
-    }
-}
-
-void gateway::implementation::on(const link_closed &received, time_point now)
-{
-    m_store.onLinkClosed(received.link);
-    abandonPeerRequests(received.link, now);
-    abandonPermitRequests([&](const pending_permit &pending) { return pending.link == received.link; }, now);
-    onRelayLost(received.link, now);
-    cancelRelayedFor(received.link);
-    const auto name = m_peers.onClosed(received.link, now);
-    if (!name.empty()) {
-        log(log_level::Warning, "peer_link_closed", {{"peer", name}});
-    }
-}
-
-peers::heartbeat gateway::implementation::ownHeartbeat(time_point now) const
-{
-    return {.ready = ready(),
-            .storeReachable = m_store.paths().isDirectPathUp(now),
-            .endpointsUnreachable = m_paths.isCutOff(),
-            .configuration = m_table == nullptr ? 0 : m_table->source().version,
-            .loads = m_pool.localLoads(),
-            .limits = m_limits.ownReports(now)};
-}
-
-void gateway::implementation::tickPeers(time_point now)
-{
-    m_peers.tick(ownHeartbeat(now), std::exchange(m_heartbeatDue, false), now, m_effects);
-    // Checked here rather than on a heartbeat: after the death of the last peer none arrives.
-    if (m_peers.aliveCount(now) + 1 != m_connectionSharers) {
-        applyConnectionLimits(now);
-    }
-    assignPermits(now);
-    if (auto reports = m_crashes.takeReports(); !reports.empty()) {
-        m_peers.broadcast(peers::run_reports{std::move(reports)}, m_effects);
-    }
-}
-
-// ---- Readiness and shutdown ----
-
-bool gateway::implementation::ready() const
-{
-    return m_table != nullptr && !m_shutdownBegan.has_value();
-}
-
-// Daemons without a path to the endpoints are left out, unless they are most: the others could not serve all callers,
-// while relaying a request costs them less than serving its caller.
-std::vector<std::string> gateway::implementation::directory(time_point now) const
-{
-    auto listed = m_peers.ready(now);
-    if (ready()) {
-        listed.push_back({.name = m_options.self.name,
-                          .zone = m_options.self.zone,
-                          .callerAddress = m_options.self.callerAddress,
-                          .link = std::nullopt,
-                          .reachesEndpoints = !m_paths.isCutOff()});
-    }
-    const auto reaching = std::ranges::count_if(listed, &internal::peer_table::ready_peer::reachesEndpoints);
-    if (static_cast<std::size_t>(reaching) * 2 >= listed.size()) {
-        std::erase_if(listed, [](const auto &peer) { return !peer.reachesEndpoints; });
-    }
-    std::vector<std::string> addresses;
-    std::ranges::transform(listed, std::back_inserter(addresses), [](const auto &peer) { return peer.callerAddress; });
-    if (addresses.empty()) {
-        addresses.push_back(m_options.self.callerAddress);
-    }
-    return addresses;
-}
+// ---- Reports ----
 
 gateway_status gateway::implementation::status(time_point now) const
 {
@@ -522,59 +407,6 @@
             .configuration = m_table == nullptr ? 0 : m_table->source().version};
 }
 
-void gateway::implementation::on(const shutdown_requested & /*received*/, time_point now)
-{
-    if (m_shutdownBegan.has_value()) {
-        return;
-    }
-    m_shutdownBegan = now;
-    m_heartbeatDue = true;
-    log(log_level::Info, "shutdown_began", {{"open_requests", m_requests.size()}});
-}
-
-// Whether requests are open, or settlements of requests of any daemon are not written yet: a reservation whose
-// settlement is lost counts at its most for good.
-bool gateway::implementation::hasOpenWork() const
-{
-    return !m_requests.empty() || !m_relayed.empty()
-        || std::ranges::any_of(m_budgets, [](const auto &entry) { return entry.second.hasUnwrittenRecords(); });
-}
-
-// Returns only steps that are still to come: a time in the past would make the event loop spin.
-std::optional<time_point> gateway::implementation::nextShutdownStep() const
-{
-    if (!m_shutdownBegan.has_value() || m_stopped) {
-        return std::nullopt;
-    }
-    if (!m_idleClosed) {
-        return *m_shutdownBegan + minShutdownTime - idleCloseLeadTime;
-    }
-    if (!hasOpenWork()) {
-        return std::max(*m_shutdownBegan + minShutdownTime, m_lastRequestFinishedAt + lastResponseFlushTime);
-    }
-    return *m_shutdownBegan + m_options.shutdownTimeout;
-}
-
-void gateway::implementation::tickShutdown(time_point now)
-{
-    if (!m_shutdownBegan.has_value() || m_stopped) {
-        return;
-    }
-    const auto elapsed = now - *m_shutdownBegan;
-    if (!m_idleClosed && elapsed >= minShutdownTime - idleCloseLeadTime) {
-        m_idleClosed = true;
-        m_effects.emplace_back(close_idle_connections{});
-    }
-    const bool idle = !hasOpenWork() && now - m_lastRequestFinishedAt >= lastResponseFlushTime;
-    if ((elapsed >= minShutdownTime && idle) || elapsed >= m_options.shutdownTimeout) {
-        m_stopped = true;
-        log(log_level::Info, "shutdown_complete", {{"open_requests", m_requests.size()}});
-        m_effects.emplace_back(stop_process{});
-    }
-}
-
-// ---- Reports ----
-
 void gateway::implementation::log(log_level level, std::string_view name, std::vector<log_field> fields)
 {
     m_effects.emplace_back(log_line{level, std::string(name), std::move(fields)});
--- /dev/null
+++ b/src/gateway/testing/world_endpoints.cc
@@ -0,0 +1,169 @@
+// The endpoints of a gateway_world and the paths to them.
+
+#include "gateway/testing/gateway_world.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace jackdawpick::gateway::testing
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using std::chrono::milliseconds;
+
+constexpr milliseconds endpointDelay{2};
+constexpr milliseconds connectTimeout{250};
+
+} // namespace
+
+void gateway_world::on(int daemon, const start_dispatch &output)
+{
+    const int incarnation = m_daemons.at(static_cast<std::size_t>(daemon)).incarnation;
+    m_activeDispatches.emplace(daemon, output.dispatch);
+    m_attempts[{daemon, output.dispatch}] = output.request.attempt;
+    const auto path = pathOf(daemon);
+    const auto delay = path == path_behaviour::Hangs ? connectTimeout : endpointDelay;
+    schedule(delay, [=, this] {
+        if (!m_activeDispatches.contains({daemon, output.dispatch})) {
+            return;
+        }
+        if (path == path_behaviour::Open) {
+            runAtEndpoint(daemon, incarnation, output);
+        } else {
+            deliver(daemon, incarnation, dispatch_finished{output.dispatch, dispatch_outcome::NotSent});
+        }
+    });
+}
+
+void gateway_world::runAtEndpoint(int daemon, int incarnation, const start_dispatch &output)
+{
+    const auto behaviour = endpointBehaviours.contains(output.request.endpoint)
+        ? endpointBehaviours.at(output.request.endpoint)
+        : endpoint_behaviour::Responds;
+    const auto respond = [=, this](milliseconds delay, const event &content) {
+        schedule(delay, [=, this] {
+            const bool passes = pathOf(daemon) == path_behaviour::Open;
+            if (passes && m_activeDispatches.contains({daemon, output.dispatch})) {
+                deliver(daemon, incarnation, content);
+            }
+        });
+    };
+    const auto end = [&](milliseconds delay, dispatch_outcome outcome) {
+        respond(delay, dispatch_finished{output.dispatch, outcome});
+    };
+    if (behaviour == endpoint_behaviour::Unreachable) {
+        end(0ms, dispatch_outcome::NotSent);
+        return;
+    }
+    if (behaviour == endpoint_behaviour::Rejects) {
+        respond(0ms,
+                response_head{output.dispatch,
+                              {.status = 503,
+                               .notExecuted = true,
+                               .rateLimit = rateLimitOf(output.request.endpoint),
+                               .headers = {}}});
+        return;
+    }
+    runs.push_back({output.request.endpoint, output.request.attempt, output.request.body, now()});
+    if (const auto endless = endlessResponses.find(output.request.endpoint); endless != endlessResponses.end()) {
+        respond(0ms,
+                response_head{output.dispatch,
+                              {.status = 200,
+                               .hasEndpointSignature = true,
+                               .headers = {{"content-type", endless->second.contentType}}}});
+        sendWithoutEnd(daemon, incarnation, output.dispatch, endless->second.piece);
+        return;
+    }
+    if (behaviour == endpoint_behaviour::Hangs) {
+        return;
+    }
+    if (behaviour == endpoint_behaviour::LosesResponse) {
+        end(m_options.serviceTime, dispatch_outcome::Lost);
+        return;
+    }
+    const bool stream = output.request.target.starts_with("/model/");
+    const header_list headers{{"content-type", stream ? "text/event-stream" : "text/plain"}};
+    const int pieceCount = stream ? m_options.eventsPerTurn : 1;
+    const auto gap = stream ? m_options.eventInterval : m_options.serviceTime;
+    const auto content = stream ? std::string() : "done:" + output.request.attempt;
+    const auto length = stream ? std::nullopt : std::optional<std::uint64_t>(content.size());
+    respond(gap,
+            response_head{output.dispatch,
+                          {.status = 200,
+                           .hasEndpointSignature = true,
+                           .rateLimit = rateLimitOf(output.request.endpoint),
+                           .headers = headers,
+                           .contentLength = length}});
+    const int sentPieces = behaviour == endpoint_behaviour::TruncatesResponse ? pieceCount / 2 : pieceCount;
+    for (int i = 1; i <= sentPieces; ++i) {
+        const auto text = stream ? fmt::format("id: {0}\ndata: {1}-{0}\n\n", i, output.request.attempt) : content;
+        respond(gap * i, response_chunk{output.dispatch, text});
+    }
+    end(gap * pieceCount + 1ms,
+        behaviour == endpoint_behaviour::TruncatesResponse ? dispatch_outcome::Lost : dispatch_outcome::Complete);
+}
+
+void gateway_world::sendWithoutEnd(int daemon, int incarnation, dispatch_id dispatch, const std::string &piece)
+{
+    schedule(1ms, [=, this] {
+        if (m_activeDispatches.contains({daemon, dispatch})) {
+            endlessBytes += piece.size();
+            deliver(daemon, incarnation, response_chunk{dispatch, piece});
+            sendWithoutEnd(daemon, incarnation, dispatch, piece);
+        }
+    });
+}
+
+path_behaviour gateway_world::pathOf(int daemon) const
+{
+    const auto found = endpointPaths.find(daemon);
+    return found == endpointPaths.end() ? path_behaviour::Open : found->second;
+}
+
+void gateway_world::on(int daemon, const probe_endpoint &output)
+{
+    const int incarnation = m_daemons.at(static_cast<std::size_t>(daemon)).incarnation;
+    const auto path = pathOf(daemon);
+    schedule(path == path_behaviour::Hangs ? connectTimeout : endpointDelay, [=, this] {
+        deliver(daemon, incarnation, probe_finished{output.probe, path == path_behaviour::Open});
+    });
+}
+
+void gateway_world::on(int daemon, const cancel_dispatch &output)
+{
+    m_activeDispatches.erase({daemon, output.dispatch});
+    cancelledAttempts.push_back(m_attempts.at({daemon, output.dispatch}));
+}
+
+std::optional<double> gateway_world::rateLimitOf(const std::string &endpoint) const
+{
+    const auto found = endpointLimits.find(endpoint);
+    return found == endpointLimits.end() ? std::nullopt : std::optional(found->second);
+}
+
+int gateway_world::mostRunsWithin(const std::string &endpoint, milliseconds period, time_point start) const
+{
+    std::deque<time_point> recent;
+    std::size_t most = 0;
+    for (const auto &run : runs) {
+        if (run.endpoint != endpoint || run.at < start) {
+            continue;
+        }
+        recent.push_back(run.at);
+        while (recent.front() <= run.at - period) {
+            recent.pop_front();
+        }
+        most = std::max(most, recent.size());
+    }
+    return static_cast<int>(most);
+}
+
+int gateway_world::runsOf(const std::string &attempt) const
+{
+    return static_cast<int>(std::ranges::count(runs, attempt, &endpoint_run::attempt));
+}
+
+} // namespace jackdawpick::gateway::testing
