--- a/src/gateway/relaying.cc
+++ b/src/gateway/relaying.cc
@@ -120,10 +120,11 @@
     std::erase_if(peers, [&](const auto &peer) {
         return !peer.reachesEndpoints || !peer.link.has_value() || context.refusingPeers.contains(peer.name);
     });
-    const auto near = std::ranges::stable_partition(
-        peers, [&](const auto &peer) { return peer.zone == m_options.self.zone || peer.zone == zone; });
-    if (near.begin() != peers.begin()) {
-        peers.erase(near.begin(), peers.end());
+    const auto endOfNear = std::stable_partition(peers.begin(), peers.end(), [&](const auto &peer) {
+        return peer.zone == m_options.self.zone || peer.zone == zone;
+    });
+    if (endOfNear != peers.begin()) {
+        peers.erase(endOfNear, peers.end());
     }
     if (peers.empty()) {
         return std::nullopt;
--- a/src/gateway/relaying_test.cc
+++ b/src/gateway/relaying_test.cc
@@ -227,15 +227,17 @@
 {
     gateway_world world({.daemons = 2, .shopEndpoints = 4, .serviceTime = 100ms});
     world.warmUp();
+    constexpr int readCount = 8;
     std::vector<const caller_response *> reads;
-    for (int i = 0; i < 8; ++i) {
+    reads.reserve(readCount);
+    for (int i = 0; i < readCount; ++i) {
         reads.push_back(&world.send(0, shopRequest("/read/x", fmt::format("read-{}", i))));
     }
     const auto &payment = world.send(0, shopRequest("/pay/x", "pay"));
     world.runFor(20ms);
     world.endpointPaths[0] = path_behaviour::Hangs;
     world.runFor(3s);
-    EXPECT_EQ(std::ranges::count(reads, 200, &caller_response::status), 8);
+    EXPECT_EQ(std::ranges::count(reads, 200, &caller_response::status), readCount);
     EXPECT_EQ(world.runsOf("pay"), 1);
     EXPECT_FALSE(payment.status == 503 || payment.status == 429); // Either says that the request has not run.
 }
@@ -245,14 +247,16 @@
 {
     gateway_world world({.daemons = 2, .engineEndpoints = 3, .eventInterval = 1000ms, .eventsPerTurn = 2});
     world.warmUp();
+    constexpr int turnCount = 12;
     std::vector<const caller_response *> responses;
-    for (int i = 0; i < 12; ++i) {
+    responses.reserve(turnCount);
+    for (int i = 0; i < turnCount; ++i) {
         responses.push_back(&world.send(0, modelTurn(fmt::format("p{}", i), fmt::format("a{}", i))));
     }
     world.runFor(4s);
     EXPECT_EQ(world.logLinesOf("endpoints_lost"), 0);
     EXPECT_EQ(world.logLinesOf("request_relayed"), 0);
-    EXPECT_EQ(std::ranges::count(responses, 200, &caller_response::status), 12);
+    EXPECT_EQ(std::ranges::count(responses, 200, &caller_response::status), turnCount);
 }
 
 } // namespace jackdawpick::gateway::testing
