Use one table of pending peer requests for permits too, and sample distinct endpoints

Requests for permits had a second copy of the bookkeeping of requests to peers: a table with deadlines, a pass over it for closed links and one for timeouts. They use the same table type and the same pass now; the endpoint that waits for its permit is in the context of its request. Behaviour is unchanged.

endpoint_pool::sampleAddresses() named an endpoint twice when fewer endpoints than probes were usable, so that one endpoint decided a round of probes alone. SampledAddressesAreDistinctAndUsable failed before and passes now.

--- a/src/admission/admission_test.cc
+++ b/src/admission/admission_test.cc
@@ -44,4 +44,13 @@
     }
 }
 
+// Guards against first turns that take the permits of programs under way, and routine ones those of urgent ones.
+TEST(Admission, FirstTurnsLeavePermitsToMoreUrgentRequests)
+{
+    EXPECT_EQ(permitReserveOf({.rank = 0, .firstTurn = false}), 0);
+    EXPECT_EQ(permitReserveOf({.rank = 2, .firstTurn = false}), 0);
+    EXPECT_GT(permitReserveOf({.rank = 0, .firstTurn = true}), 0);
+    EXPECT_GT(permitReserveOf({.rank = 2, .firstTurn = true}), permitReserveOf({.rank = 0, .firstTurn = true}));
+}
+
 } // namespace jackdawpick::admission
--- a/src/fleet/endpoint_pool.cc
+++ b/src/fleet/endpoint_pool.cc
@@ -124,8 +124,9 @@
     std::vector<std::string> sample;
     const auto size = addresses.size();
     const auto start = static_cast<std::size_t>(randomFraction * static_cast<double>(size));
-    for (std::size_t i = 0; i < std::min(count, size); ++i) {
-        sample.push_back(addresses[(start + i * size / count) % size]);
+    const auto sampleSize = std::min(count, size);
+    for (std::size_t i = 0; i < sampleSize; ++i) {
+        sample.push_back(addresses[(start + i * size / sampleSize) % size]);
     }
     return sample;
 }
--- a/src/fleet/fleet_test.cc
+++ b/src/fleet/fleet_test.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
+#include <map>
 #include <set>
 
 namespace jackdawpick::fleet
@@ -55,6 +56,49 @@
     EXPECT_EQ(chosen(model), "");
 }
 
+// Guards against an endpoint with a rate limit that looks idle, since it has few requests in flight, and draws all.
+TEST_F(fleet_test, LimitedEndpointCountsWithTheSlotsThatItsLimitFills)
+{
+    pool.setRateLimit("a", 1);
+    pool.onDispatched("a", clock.now());
+    pool.onDispatched("b", clock.now());
+    pool.onDispatched("b", clock.now());
+    EXPECT_EQ(chosen(model), "b");
+    const auto limited = pool.utilisation("llm", clock.now());
+    pool.setRateLimit("a", std::nullopt);
+    EXPECT_EQ(chosen(model), "a");
+    EXPECT_GT(limited, pool.utilisation("llm", clock.now()));
+}
+
+// Guards against requests to an endpoint for which no permit is available, and against one that is blocked for good.
+TEST_F(fleet_test, BlockedEndpointIsSelectedAgainLater)
+{
+    pool.setRateLimit("a", 1);
+    pool.setRateLimit("b", 1);
+    pool.blockUntil("a", clock.now() + 300ms);
+    EXPECT_EQ(chosen(model), "b");
+    EXPECT_TRUE(pool.choose(model, 0, clock.now())->limited);
+    pool.blockUntil("b", clock.now() + 200ms);
+    EXPECT_EQ(chosen(model), "");
+    EXPECT_EQ(pool.nextUnblocked(model, clock.now()), clock.now() + 200ms);
+    clock.advance(250ms);
+    EXPECT_EQ(chosen(model), "b");
+    pool.setRateLimit("a", std::nullopt);
+    pool.markLeaving("b");
+    EXPECT_EQ(chosen(model), "a");
+}
+
+// Guards against probes that all go to one endpoint, or to one that is leaving.
+TEST_F(fleet_test, SampledAddressesAreDistinctAndUsable)
+{
+    pool.markLeaving("b");
+    for (const double fraction : {0.0, 0.3, 0.99}) {
+        const auto sample = pool.sampleAddresses(3, fraction, clock.now());
+        EXPECT_EQ(std::set(sample.begin(), sample.end()), (std::set<std::string>{"1:1", "1:3"}));
+    }
+    EXPECT_EQ(pool.sampleAddresses(1, 0.5, clock.now()).size(), 1U);
+}
+
 // Guards against losing an endpoint for good that starts again under its old id, after another endpoint had used its
 // address for a while and had told so.
 TEST_F(fleet_test, EndpointThatStartsAgainIsUsedAgain)
@@ -241,6 +285,30 @@
     EXPECT_EQ(chosenBy(one, turn, 0), home);
 }
 
+// Guards against a limit of one engine that moves conversations among all others: they stay, or move to the engine that
+// holds the shared prompt in its place.
+TEST_F(placement_test, LimitOfAnEngineMovesConversationsToOneOtherOnly)
+{
+    std::map<int, std::string> homes;
+    for (int program = 0; program < 50; ++program) {
+        homes[program] = chosenBy(one, turnIn(program, "shared"), 0);
+    }
+    const auto limited = homes.at(0);
+    one.setRateLimit(limited, 0.5);
+    std::set<std::string> newHomes;
+    int stayed = 0;
+    for (const auto &[program, home] : homes) {
+        const auto now = chosenBy(one, turnIn(program, "shared"), 0);
+        EXPECT_NE(now, limited);
+        stayed += now == home ? 1 : 0;
+        if (now != home && home != limited) {
+            newHomes.insert(now);
+        }
+    }
+    EXPECT_GT(stayed, 0);
+    EXPECT_LE(newHomes.size(), 1U);
+}
+
 // Guards against moving conversations because an engine with a larger batch is slightly slower.
 TEST_F(placement_test, LoadIsNotTakenForSlowness)
 {
--- a/src/gateway/budgets.cc
+++ b/src/gateway/budgets.cc
@@ -371,8 +371,8 @@
     retryAbandonedPeerRequests([now](const pending_peer_request &pending) { return pending.deadline <= now; }, now);
 }
 
-// Gives up the peer requests that `isAbandoned` selects: the next daemon is asked for the reservation, and the turn is
-// read from the store.
+// Gives up the peer requests that `isAbandoned` selects: the next daemon is asked for the reservation, the turn is read
+// from the store, and the permit counts as denied.
 void gateway::implementation::retryAbandonedPeerRequests(
     const std::function<bool(const pending_peer_request &)> &isAbandoned, time_point now)
 {
@@ -389,6 +389,7 @@
     };
     const auto undecided = take(m_pendingReservations);
     const auto unread = take(m_pendingTurnRequests);
+    const auto unpermitted = take(m_pendingPermits);
     for (const auto caller : undecided) {
         if (auto *context = findRequest(caller); context != nullptr && context->reservationPending) {
             requestReservation(*context, now);
@@ -399,6 +400,11 @@
             readHistoryFromStore(*context, now);
         }
     }
+    for (const auto caller : unpermitted) {
+        if (auto *context = findRequest(caller); context != nullptr) {
+            onPermitUnanswered(*context, now);
+        }
+    }
 }
 
 std::optional<time_point> gateway::implementation::nextBudgetDeadline() const
@@ -412,7 +418,7 @@
             consider(*due);
         }
     }
-    for (const auto *pendingRequests : {&m_pendingReservations, &m_pendingTurnRequests}) {
+    for (const auto *pendingRequests : {&m_pendingReservations, &m_pendingTurnRequests, &m_pendingPermits}) {
         std::ranges::for_each(*pendingRequests, [&](const auto &entry) { consider(entry.second.deadline); });
     }
     return earliest;
--- a/src/gateway/endpoint_limits.cc
+++ b/src/gateway/endpoint_limits.cc
@@ -17,6 +17,7 @@
 constexpr milliseconds permitAnswerTimeout{100};
 // Until other daemons have noticed that the one that issued permits is gone.
 constexpr milliseconds noIssuerRetryDelay{200};
+constexpr limits::permit_decision deniedWithoutIssuer{.granted = false, .retryAfter = noIssuerRetryDelay};
 // The longest time that a turn of a program under way, or a call of a tool, waits for permits.
 constexpr milliseconds maxPermitWait{1000};
 // Spreads the requests that wait for the same permit.
@@ -99,7 +100,7 @@
     }
     // A daemon that does not consider itself the issuer would issue permits in addition to those of the issuer.
     if (permitIssuerOf(endpoint, now) != m_options.self.name) {
-        return {.granted = false, .retryAfter = noIssuerRetryDelay};
+        return deniedWithoutIssuer;
     }
     return m_permits.take(endpoint, reserve, now);
 }
@@ -128,8 +129,9 @@
         onPermitDenied(context, chosen.id, noIssuerRetryDelay, now);
         return false;
     }
-    context.permitPending = true;
-    m_pendingPermits.emplace(++m_lastPeerRequest, pending_permit{context.id, chosen, *link, now + permitAnswerTimeout});
+    context.permitFor = chosen;
+    m_pendingPermits.emplace(++m_lastPeerRequest,
+                             pending_peer_request{context.id, *link, now, now + permitAnswerTimeout});
     m_effects.emplace_back(send_message{*link, peers::permit_request{m_lastPeerRequest, chosen.id, reserve}});
     return false;
 }
@@ -137,19 +139,31 @@
 void gateway::implementation::on(link_id /*link*/, const peers::permit_reply &message, time_point now)
 {
     const auto node = m_pendingPermits.extract(message.id);
-    auto *context = node ? findRequest(node.mapped().caller) : nullptr;
-    if (context == nullptr || !context->permitPending) {
+    if (auto *context = node ? findRequest(node.mapped().caller) : nullptr; context != nullptr) {
+        onPermitDecided(*context, message.decision, now);
+    }
+}
+
+void gateway::implementation::onPermitDecided(request_context &context, const limits::permit_decision &decision,
+                                              time_point now)
+{
+    const auto chosen = std::exchange(context.permitFor, std::nullopt);
+    if (!chosen.has_value()) {
         return;
     }
-    context->permitPending = false;
-    const auto &chosen = node.mapped().chosen;
-    if (message.decision.granted) {
-        sendToEndpoint(*context, chosen, now);
+    if (decision.granted) {
+        sendToEndpoint(context, *chosen, now);
     } else {
-        onPermitDenied(*context, chosen.id, message.decision.retryAfter, now);
+        onPermitDenied(context, chosen->id, decision.retryAfter, now);
     }
 }
 
+// The daemon asked did not answer in time, or the link to it is closed.
+void gateway::implementation::onPermitUnanswered(request_context &context, time_point now)
+{
+    onPermitDecided(context, deniedWithoutIssuer, now);
+}
+
 // Places the request again without this endpoint. A denial to a first turn says nothing about other requests, for which
 // the remaining permits are reserved.
 void gateway::implementation::onPermitDenied(request_context &context, const std::string &endpoint,
@@ -189,7 +203,6 @@
 
 void gateway::implementation::dispatchWaiting(time_point now)
 {
-    abandonPermitRequests([now](const pending_permit &pending) { return pending.deadline <= now; }, now);
     while (!m_waitingForPermit.empty() && m_waitingForPermit.begin()->first <= now) {
         const auto caller = m_waitingForPermit.begin()->second;
         m_waitingForPermit.erase(m_waitingForPermit.begin());
@@ -199,35 +212,9 @@
     }
 }
 
-void gateway::implementation::abandonPermitRequests(const std::function<bool(const pending_permit &)> &isAbandoned,
-                                                    time_point now)
+std::optional<time_point> gateway::implementation::nextWaitingDispatch() const
 {
-    std::vector<pending_permit> abandoned;
-    std::erase_if(m_pendingPermits, [&](const auto &entry) {
-        if (!isAbandoned(entry.second)) {
-            return false;
-        }
-        abandoned.push_back(entry.second);
-        return true;
-    });
-    for (const auto &pending : abandoned) {
-        if (auto *context = findRequest(pending.caller); context != nullptr && context->permitPending) {
-            context->permitPending = false;
-            onPermitDenied(*context, pending.chosen.id, noIssuerRetryDelay, now);
-        }
-    }
-}
-
-std::optional<time_point> gateway::implementation::nextPermitDeadline() const
-{
-    std::optional<time_point> earliest;
-    if (!m_waitingForPermit.empty()) {
-        earliest = m_waitingForPermit.begin()->first;
-    }
-    for (const auto &[id, pending] : m_pendingPermits) {
-        earliest = std::min(earliest.value_or(pending.deadline), pending.deadline);
-    }
-    return earliest;
+    return m_waitingForPermit.empty() ? std::nullopt : std::optional(m_waitingForPermit.begin()->first);
 }
 
 } // namespace jackdawpick::gateway
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -102,14 +102,6 @@
         time_point deadline;
     };
 
-    struct pending_permit
-    {
-        caller_id caller{};
-        fleet::placement chosen;
-        link_id link{};
-        time_point deadline;
-    };
-
     [[nodiscard]] static bool hasBudget(const request_context &context);
     void requestReservation(request_context &context, time_point now);
     [[nodiscard]] std::chrono::milliseconds decisionTimeout() const;
@@ -219,13 +211,14 @@
     // Asks for permission to send the request to an endpoint with a rate limit. Returns whether it may be sent now;
     // otherwise the request goes on when the answer arrives.
     bool acquirePermit(request_context &context, const fleet::placement &chosen, time_point now);
+    void onPermitDecided(request_context &context, const limits::permit_decision &decision, time_point now);
+    void onPermitUnanswered(request_context &context, time_point now);
     void onPermitDenied(request_context &context, const std::string &endpoint, std::chrono::milliseconds retryAfter,
                         time_point now);
     void waitForPermit(request_context &context, time_point availableAt, time_point now);
     [[nodiscard]] limits::permit_decision issuePermit(const std::string &endpoint, double reserve, time_point now);
     void dispatchWaiting(time_point now);
-    [[nodiscard]] std::optional<time_point> nextPermitDeadline() const;
-    void abandonPermitRequests(const std::function<bool(const pending_permit &)> &isAbandoned, time_point now);
+    [[nodiscard]] std::optional<time_point> nextWaitingDispatch() const;
     void assignPermits(time_point now);
     // The daemon that issues the permits of the endpoint: all daemons with the same view of the others name the same.
     [[nodiscard]] std::string permitIssuerOf(const std::string &endpoint, time_point now) const;
@@ -317,7 +310,7 @@
     crashes::crash_tracker m_crashes;
     limits::limit_table m_limits;
     limits::permit_issuer m_permits;
-    std::map<std::uint64_t, pending_permit> m_pendingPermits; // By the id of the message.
+    std::map<std::uint64_t, pending_peer_request> m_pendingPermits;
     std::set<std::pair<time_point, caller_id>> m_waitingForPermit; // Requests, and when they are dispatched again.
     time_point m_assignPermitsAt{};
     store::partition_log m_log;
--- a/src/gateway/internal/request_context.h
+++ b/src/gateway/internal/request_context.h
@@ -67,7 +67,7 @@
     programs::turn_chain chain; // Where that text lies in the log.
     std::optional<history_read> historyRead; // Set while the records of the chain are read.
 
-    bool permitPending = false; // Waits for the answer to its request for a permit.
+    std::optional<fleet::placement> permitFor; // Set while the answer to the request for a permit is awaited.
     unsigned permitsDenied = 0; // Since the request was last placed without one.
     std::optional<std::chrono::milliseconds> permitRetryAfter; // The shortest time told with a denial to a first turn.
     std::optional<time_point> waitingForPermitSince;
--- a/src/gateway/peer_links.cc
+++ b/src/gateway/peer_links.cc
@@ -54,7 +54,6 @@
 {
     m_store.onLinkClosed(received.link);
     abandonPeerRequests(received.link, now);
-    abandonPermitRequests([&](const pending_permit &pending) { return pending.link == received.link; }, now);
     onRelayLost(received.link, now);
     cancelRelayedFor(received.link);
     const auto name = m_peers.onClosed(received.link, now);
--- a/src/gateway/platform_state.cc
+++ b/src/gateway/platform_state.cc
@@ -93,7 +93,7 @@
     consider(m_log.nextDeadline());
     consider(nextBudgetDeadline());
     consider(nextTrimCheck());
-    consider(nextPermitDeadline());
+    consider(nextWaitingDispatch());
     consider(m_paths.nextProbe());
     consider(m_store.nextDeadline());
     consider(m_peers.nextDeadline());
