--- a/src/gateway/testing/gateway_world.cc
+++ b/src/gateway/testing/gateway_world.cc
@@ -381,8 +381,9 @@
 
 void gateway_world::registerEndpoint(const fleet::endpoint_entry &entry)
 {
-    const auto text = fmt::format("{} {} {}", entry.id, entry.address, entry.draining);
+    const auto text = fmt::format("{} {} {} {}", entry.id, entry.address, entry.draining, entry.born);
     m_publishedEndpoints[text] = entry;
+    m_latestEndpoints[entry.id] = entry;
     execute(store::put_call{endpointPartition, entry.id, text});
 }
 
--- a/src/gateway/testing/gateway_world.h
+++ b/src/gateway/testing/gateway_world.h
@@ -46,6 +46,18 @@
     TruncatesResponse, // Runs the request; the connection is lost in the middle of the response.
     Unreachable,
     Hangs, // Runs the request and never responds.
+    FailsUnmarked, // Runs the request and responds with 503, without stating whether it ran.
+    Errs, // Runs the request and responds with 500.
+};
+
+// A request that crashes the endpoints that run it. The endpoint is back after `downTime`.
+struct crashing_request
+{
+    std::string body;
+    std::chrono::milliseconds downTime{2000};
+    bool isSilent = false; // Connections to the endpoint are not closed, and nothing answers.
+    bool keepsId = false; // The endpoint is back under the id that it had.
+    std::vector<time_point> crashes; // When endpoints have crashed.
 };
 
 // A response whose body never ends: after the head the piece is sent each millisecond until the gateway cancels.
@@ -142,6 +154,7 @@
 
     std::map<int, store_behaviour> storeBehaviours; // By daemon.
     std::map<std::string, endpoint_behaviour> endpointBehaviours; // By id; Responds if missing.
+    std::optional<crashing_request> crashing;
     std::map<std::string, double> endpointLimits; // Rate limits that endpoints state, by id.
     std::map<std::string, endless_response> endlessResponses; // By endpoint id; precede the behaviour.
     std::size_t endlessBytes = 0; // Sent in endless responses.
@@ -213,6 +226,10 @@
 
     [[nodiscard]] std::optional<double> rateLimitOf(const std::string &endpoint) const;
     void runAtEndpoint(int daemon, int incarnation, const start_dispatch &output);
+    void crashEndpoint(const std::string &id);
+    void restartEndpoint(const std::string &id);
+    // How often the endpoint has crashed. What it sent before its latest crash is lost.
+    [[nodiscard]] int crashCountOf(const std::string &endpoint) const;
     void sendWithoutEnd(int daemon, int incarnation, dispatch_id dispatch, const std::string &piece);
     store::reply execute(const store::call &call);
     store::reply execute(const store::append_call &call);
@@ -234,6 +251,9 @@
     std::size_t m_storedBytes = 0;
     std::map<std::string, routing::configuration> m_publishedConfigurations; // By their text in the store.
     std::map<std::string, fleet::endpoint_entry> m_publishedEndpoints; // By their text in the store.
+    std::map<std::string, fleet::endpoint_entry> m_latestEndpoints; // By id.
+    std::map<std::string, int> m_crashCounts; // By endpoint id.
+    std::set<std::string> m_downEndpoints; // Ids of endpoints that have crashed and are not back under them.
     std::deque<caller_response> m_responses;
     std::map<std::pair<int, caller_id>, caller_response *> m_responseByCaller;
     std::map<const caller_response *, std::pair<int, caller_id>> m_callerByResponse;
@@ -242,6 +262,7 @@
     std::map<std::pair<int, link_id>, link_side> m_links; // To the other side of the link.
     std::set<std::pair<int, dispatch_id>> m_activeDispatches;
     std::map<std::pair<int, dispatch_id>, std::string> m_attempts;
+    std::map<std::pair<int, dispatch_id>, std::string> m_dispatchEndpoints; // Of the requests that were run.
     std::map<std::string, int> m_logLineCounts;
     std::map<std::string, std::string> m_lastLogLines;
 };
--- a/src/gateway/testing/world_endpoints.cc
+++ b/src/gateway/testing/world_endpoints.cc
@@ -43,9 +43,11 @@
     const auto behaviour = endpointBehaviours.contains(output.request.endpoint)
         ? endpointBehaviours.at(output.request.endpoint)
         : endpoint_behaviour::Responds;
+    const auto &id = output.request.endpoint;
+    const int crashCount = crashCountOf(id);
     const auto respond = [=, this](milliseconds delay, const event &content) {
         schedule(delay, [=, this] {
-            const bool passes = pathOf(daemon) == path_behaviour::Open;
+            const bool passes = pathOf(daemon) == path_behaviour::Open && crashCountOf(id) == crashCount;
             if (passes && m_activeDispatches.contains({daemon, output.dispatch})) {
                 deliver(daemon, incarnation, content);
             }
@@ -54,7 +56,7 @@
     const auto end = [&](milliseconds delay, dispatch_outcome outcome) {
         respond(delay, dispatch_finished{output.dispatch, outcome});
     };
-    if (behaviour == endpoint_behaviour::Unreachable) {
+    if (behaviour == endpoint_behaviour::Unreachable || m_downEndpoints.contains(id)) {
         end(0ms, dispatch_outcome::NotSent);
         return;
     }
@@ -68,6 +70,11 @@
         return;
     }
     runs.push_back({output.request.endpoint, output.request.attempt, output.request.body, now()});
+    m_dispatchEndpoints[{daemon, output.dispatch}] = id;
+    if (crashing.has_value() && crashing->body == output.request.body) {
+        schedule(1ms, [=, this] { crashEndpoint(id); });
+        return;
+    }
     if (const auto endless = endlessResponses.find(output.request.endpoint); endless != endlessResponses.end()) {
         respond(0ms,
                 response_head{output.dispatch,
@@ -84,6 +91,12 @@
         end(m_options.serviceTime, dispatch_outcome::Lost);
         return;
     }
+    if (behaviour == endpoint_behaviour::FailsUnmarked || behaviour == endpoint_behaviour::Errs) {
+        const std::uint16_t status = behaviour == endpoint_behaviour::Errs ? 500 : 503;
+        respond(0ms, response_head{output.dispatch, {.status = status, .hasEndpointSignature = true, .headers = {}}});
+        end(1ms, dispatch_outcome::Complete);
+        return;
+    }
     const bool stream = output.request.target.starts_with("/model/");
     const header_list headers{{"content-type", stream ? "text/event-stream" : "text/plain"}};
     const int pieceCount = stream ? m_options.eventsPerTurn : 1;
@@ -106,6 +119,50 @@
         behaviour == endpoint_behaviour::TruncatesResponse ? dispatch_outcome::Lost : dispatch_outcome::Complete);
 }
 
+int gateway_world::crashCountOf(const std::string &endpoint) const
+{
+    const auto found = m_crashCounts.find(endpoint);
+    return found == m_crashCounts.end() ? 0 : found->second;
+}
+
+void gateway_world::crashEndpoint(const std::string &id)
+{
+    if (!m_downEndpoints.insert(id).second) {
+        return; // Another request has crashed it in the same moment.
+    }
+    ++m_crashCounts[id];
+    crashing->crashes.push_back(now());
+    schedule(crashing->downTime, [=, this] { restartEndpoint(id); });
+    if (crashing->isSilent) {
+        return;
+    }
+    for (const auto &place : m_activeDispatches) {
+        const auto [daemon, dispatch] = place;
+        const auto found = m_dispatchEndpoints.find(place);
+        if (found != m_dispatchEndpoints.end() && found->second == id && pathOf(daemon) == path_behaviour::Open) {
+            const int incarnation = m_daemons.at(static_cast<std::size_t>(daemon)).incarnation;
+            schedule(0ms, [=, this] {
+                if (m_activeDispatches.contains({daemon, dispatch})) {
+                    deliver(daemon, incarnation, dispatch_finished{dispatch, dispatch_outcome::Lost});
+                }
+            });
+        }
+    }
+}
+
+void gateway_world::restartEndpoint(const std::string &id)
+{
+    auto entry = m_latestEndpoints.at(id);
+    entry.born = static_cast<std::uint64_t>(++m_lastSequence);
+    if (crashing->keepsId) {
+        m_downEndpoints.erase(id);
+    } else {
+        removeEndpoint(id);
+        entry.id = fmt::format("{}-{}", id, entry.born);
+    }
+    registerEndpoint(entry);
+}
+
 void gateway_world::sendWithoutEnd(int daemon, int incarnation, dispatch_id dispatch, const std::string &piece)
 {
     schedule(1ms, [=, this] {
