Ask before each send whether a request crashes endpoints

The question now stands in the one place that each dispatch passes, and once more after a permit was granted. The refusal is the same as before: RequestBlocked if no endpoint has had the request in this attempt, else OutcomeUnknown.

--- a/src/gateway/dispatching.cc
+++ b/src/gateway/dispatching.cc
@@ -76,8 +76,22 @@
             .unlimitedOnly = context.permitsDenied >= maxPermitRequests};
 }
 
+// Refuses a request that crashes endpoints, truthfully: it may have run if it was sent before.
+bool gateway::implementation::refuseIfBlocked(request_context &context, time_point now)
+{
+    const bool blocked = m_crashes.isBlocked(context.contentHash, now);
+    if (blocked) {
+        const auto code = context.attempts > 0 ? result_code::OutcomeUnknown : result_code::RequestBlocked;
+        refuseRequest(context, code, std::nullopt, now);
+    }
+    return blocked;
+}
+
 void gateway::implementation::dispatch(request_context &context, time_point now)
 {
+    if (refuseIfBlocked(context, now)) {
+        return;
+    }
     const auto remaining = millisecondsBetween(now, context.deadline);
     if (remaining < minDispatchTime) {
         refuseRequest(context, result_code::DeadlineBeforeDispatch, std::nullopt, now);
@@ -359,9 +373,7 @@
     if (isEndpointFailure) {
         context.excludedEndpoints.insert(context.endpoint);
     }
-    if (m_crashes.isBlocked(context.contentHash, now)) {
-        refuseRequest(context, result_code::OutcomeUnknown, std::nullopt, now);
-    } else if ((notSent && context.sends < maxDispatches) || canRetry(context, now)) {
+    if ((notSent && context.sends < maxDispatches) || canRetry(context, now)) {
         dispatch(context, now);
     } else if (notSent) {
         refuseRequest(context, result_code::EndpointsUnreachable, noEndpointRetryDelay, now);
--- a/src/gateway/endpoint_limits.cc
+++ b/src/gateway/endpoint_limits.cc
@@ -151,10 +151,10 @@
     if (!chosen.has_value()) {
         return;
     }
-    if (decision.granted) {
-        sendToEndpoint(context, *chosen, now);
-    } else {
+    if (!decision.granted) {
         onPermitDenied(context, chosen->id, decision.retryAfter, now);
+    } else if (!refuseIfBlocked(context, now)) {
+        sendToEndpoint(context, *chosen, now);
     }
 }
 
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -182,6 +182,7 @@
 
     // dispatching.cc
     void dispatch(request_context &context, time_point now);
+    bool refuseIfBlocked(request_context &context, time_point now);
     void sendToEndpoint(request_context &context, const fleet::placement &chosen, time_point now);
     [[nodiscard]] static endpoint_calls::endpoint_request
     endpointRequestFor(const request_context &context, const fleet::placement &chosen, time_point now);
--- a/src/gateway/requests.cc
+++ b/src/gateway/requests.cc
@@ -70,11 +70,9 @@
     context.deadline = now + timeoutFor(context.request, *route);
     context.contentHash = contentHashOf(context.request);
     m_deadlines.emplace(context.deadline, context.id);
-    if (m_crashes.isBlocked(context.contentHash, now)) {
-        refuseRequest(context, result_code::RequestBlocked, std::nullopt, now);
-        return;
+    if (!refuseIfBlocked(context, now)) {
+        prepareRequest(context, now);
     }
-    prepareRequest(context, now);
 }
 
 void gateway::implementation::prepareRequest(request_context &context, time_point now)
