Take only a success for a proof that a request does not crash endpoints

Any complete response cleared the failures of a request on all daemons, also the 500 of a sick endpoint that had not begun to run it; the request then crashed up to three more endpoints (StayKnownAfterAnErrorResponse: 5 crashes before, 3 now, with 9 and 80 daemons). A response outside 2xx says nothing about the request, so it changes nothing.

--- a/src/gateway/dispatching.cc
+++ b/src/gateway/dispatching.cc
@@ -315,7 +315,9 @@
 void gateway::implementation::onResponseComplete(request_context &context, time_point now)
 {
     releaseEndpoint(context, fleet::request_outcome::Answered, now);
-    m_crashes.onCompleted(context.contentHash);
+    if (context.status / 100 == 2) { // An error may have been decided before the request was run.
+        m_crashes.onCompleted(context.contentHash);
+    }
     if (context.bufferedHead.has_value()) {
         m_effects.emplace_back(start_response{context.id, context.bufferedHead->status, context.bufferedHead->headers,
                                               context.bufferedHead->contentLength});
