Count each start of an endpoint, and keep what is known of blocked requests

Failures are now told apart by id and start time of the endpoint, evicted last if the request is blocked, and kept for 10 minutes then, since a request that comes once a minute crashed an endpoint each time. Reports carry their age, and a success is kept as a time, so that failures from before it which arrive late do not count.

--- a/src/crashes/crashes.h
+++ b/src/crashes/crashes.h
@@ -4,16 +4,21 @@
 // endpoint after another.
 //
 //   crash_tracker crashes;
-//   crashes.onEndpointFailed(request, "endpoint-1", now);   // the connection was lost while the request ran
-//   if (crashes.isBlocked(request, now)) { ... }            // several endpoints failed and none completed the request
+//   crashes.onEndpointFailed(request, {"endpoint-1", born}, now); // the connection was lost while the request ran
+//   if (crashes.isBlocked(request, now)) { ... }                  // several endpoints failed, none completed the
+//   request
 //
 // A request is identified by a hash of its content that is the same for all of its retries. No I/O; thread-compatible.
 
 #include "clock/clock.h"
+#include "endpoint_calls/endpoint_calls.h"
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -21,48 +26,110 @@
 namespace jackdawpick::crashes
 {
 
-// An outcome of a request that a daemon reports to the other daemons.
+using endpoint_calls::endpoint_incarnation;
+
+// An outcome of a request that daemons report to each other.
 struct run_report
 {
     std::uint64_t request = 0;
-    std::string endpoint; // The endpoint that failed; empty if the request completed.
+    std::optional<endpoint_incarnation> failed; // Unset if the request completed.
+    std::chrono::milliseconds age{0};
     bool operator==(const run_report &) const = default;
 };
 
+// A request that is blocked from now on, or no more.
+struct block_change
+{
+    std::uint64_t request = 0;
+    bool blocked = false;
+    std::size_t failures = 0; // Endpoints that failed, as far as known.
+    bool operator==(const block_change &) const = default;
+};
+
 class crash_tracker
 {
 public:
-    // Distinct endpoints that must fail, with none completing the request, before the request is blocked.
+    // Incarnations that must fail, with none completing the request, before the request is blocked.
     static constexpr std::size_t endpointsUntilBlocked = 3;
+    // Failures from which on a request is written to the store. A single one is mostly the endpoint's own fault.
+    static constexpr std::size_t endpointsUntilStored = 2;
     // How long the failures of a request count; measured from the latest one.
     static constexpr std::chrono::seconds retention{60};
-    // When full, the request whose latest failure is the oldest is evicted.
+    static constexpr std::chrono::seconds blockedRetention{600};
+    // How long after a request has ended without a response the loss of its endpoint is put down to it. Endpoints that
+    // fall silent are removed from the store after several missed heartbeats.
+    static constexpr std::chrono::seconds suspicionTime{6};
+    static constexpr std::size_t maxSuspicions = 512;
+    // When full, a request that is not blocked is evicted first: the one with the fewest and oldest failures.
     static constexpr std::size_t maxRequests = 1024;
 
-    // Both return true if the outcome is new and was queued as a report to the other daemons.
-    bool onEndpointFailed(std::uint64_t request, const std::string &endpoint, time_point now);
-    bool onCompleted(std::uint64_t request);
-    // Applies a report of another daemon.
+    // The connection was lost while the endpoint ran the request. Returns whether that is new; it is then queued as a
+    // report to the other daemons.
+    bool onEndpointFailed(std::uint64_t request, const endpoint_incarnation &endpoint, time_point now);
+    // The request was sent, and this daemon stopped waiting for its response.
+    void onOutcomeUnknown(std::uint64_t request, const endpoint_incarnation &endpoint, time_point now);
+    // The endpoint has ended or cannot be reached. Counts as a failure of the requests whose outcome is not known, and
+    // returns these.
+    std::vector<std::uint64_t> onEndpointGone(const std::string &id, time_point now);
+    // Ids of endpoints with requests whose outcome is not known.
+    [[nodiscard]] std::set<std::string> suspectedEndpoints() const;
+    // The endpoint has run the request to its end. Returns true if failures are thereby withdrawn.
+    bool onCompleted(std::uint64_t request, time_point now);
+    // Applies a report of another daemon, or one read from the store.
     void onReport(const run_report &report, time_point now);
 
     [[nodiscard]] bool isBlocked(std::uint64_t request, time_point now) const;
+    [[nodiscard]] std::size_t blockedCount(time_point now) const;
     // Removes and returns the queued reports to the other daemons.
     [[nodiscard]] std::vector<run_report> takeReports();
-    void evictExpired(time_point now);
+    // Removes and returns the requests that have been blocked or released since the last call.
+    [[nodiscard]] std::vector<block_change> takeChanges();
+    // All that is known, for a daemon that may know nothing.
+    [[nodiscard]] std::vector<run_report> allReports(time_point now) const;
+
+    // Requests whose failures are not all in the store.
+    [[nodiscard]] const std::set<std::uint64_t> &unstored() const;
+    [[nodiscard]] std::vector<run_report> reportsOf(std::uint64_t request, time_point now) const;
+    // The latest record of the request in the store holds this many failures; 0: there is none.
+    void onStored(std::uint64_t request, std::size_t failures);
+    // Whether the store has a record of the request.
+    [[nodiscard]] bool isStored(std::uint64_t request) const;
+
+    // Returns the requests that were forgotten and have a record in the store.
+    std::vector<std::uint64_t> evictExpired(time_point now);
     [[nodiscard]] std::size_t size() const;
 
 private:
     struct request_failures
     {
-        std::set<std::string> failedEndpoints; // By id.
-        time_point lastFailure;
+        std::map<endpoint_incarnation, time_point> failed;
+        std::optional<time_point> completedAt; // Earlier failures do not count.
+        time_point latest{}; // Failure or completion.
+        std::size_t storedFailures = 0;
+        bool reportedBlocked = false; // As of the last call of takeChanges().
+    };
+
+    struct suspicion
+    {
+        std::uint64_t request = 0;
+        endpoint_incarnation endpoint;
+        time_point at;
     };
 
-    bool recordFailure(std::uint64_t request, const std::string &endpoint, time_point now);
-    void evictOldest();
+    bool recordFailure(std::uint64_t request, const endpoint_incarnation &endpoint, time_point at);
+    bool recordCompletion(std::uint64_t request, time_point at);
+    void noteChange(std::uint64_t request, const request_failures &value);
+    void evictLeastTelling();
+    [[nodiscard]] static bool isBlocked(const request_failures &value);
+    [[nodiscard]] static bool isExpired(const request_failures &value, time_point now);
+    static void appendReports(std::uint64_t request, const request_failures &value, time_point now,
+                              std::vector<run_report> &out);
 
     std::map<std::uint64_t, request_failures> m_requests;
+    std::deque<suspicion> m_suspicions; // Oldest first.
     std::vector<run_report> m_reports;
+    std::set<std::uint64_t> m_changed; // Requests that takeChanges() looks at.
+    std::set<std::uint64_t> m_unstored;
 };
 
 } // namespace jackdawpick::crashes
--- a/src/endpoint_calls/endpoint_calls.h
+++ b/src/endpoint_calls/endpoint_calls.h
@@ -8,6 +8,7 @@
 // Value types; thread compatible.
 
 #include <chrono>
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -20,6 +21,14 @@
 
 using header_list = std::vector<std::pair<std::string, std::string>>;
 
+// One start of an endpoint. An endpoint may start again under the id that it had.
+struct endpoint_incarnation
+{
+    std::string id;
+    std::uint64_t born = 0; // In milliseconds since the Unix epoch; 0 if unknown.
+    std::strong_ordering operator<=>(const endpoint_incarnation &) const = default;
+};
+
 struct endpoint_request
 {
     std::string address; // "ip:port"
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -62,6 +62,7 @@
     std::string id;
     std::string address;
     std::string zone;
+    std::uint64_t born = 0; // As in endpoint_entry.
     std::chrono::duration<double, std::milli> expectedWait{0}; // Until the endpoint starts the request.
     bool limited = false; // The endpoint states a rate limit: a permit is needed before the request may be sent.
 };
--- a/src/fleet/placement.cc
+++ b/src/fleet/placement.cc
@@ -228,6 +228,7 @@
     return placement{.id = chosen.target->entry.id,
                      .address = chosen.target->entry.address,
                      .zone = chosen.target->entry.zone,
+                     .born = chosen.target->entry.born,
                      .expectedWait = std::chrono::duration<double, std::milli>(chosen.wait),
                      .limited = chosen.target->rateLimit.has_value()};
 }
--- a/src/gateway/dispatching.cc
+++ b/src/gateway/dispatching.cc
@@ -124,6 +124,7 @@
     m_pool.onDispatched(chosen.id, now);
     context.phase = request_phase::Dispatched;
     context.endpoint = chosen.id;
+    context.endpointBorn = chosen.born;
     context.dispatchedAt = now;
     context.dispatch = dispatch_id{++m_lastDispatch};
     ++context.sends;
@@ -316,7 +317,7 @@
 {
     releaseEndpoint(context, fleet::request_outcome::Answered, now);
     if (context.status / 100 == 2) { // An error may have been decided before the request was run.
-        m_crashes.onCompleted(context.contentHash);
+        m_crashes.onCompleted(context.contentHash, now);
     }
     if (context.bufferedHead.has_value()) {
         m_effects.emplace_back(start_response{context.id, context.bufferedHead->status, context.bufferedHead->headers,
@@ -358,7 +359,7 @@
         m_paths.onConnectFailed(context.endpoint, now);
     }
     if (outcome == dispatch_outcome::Lost && where == failure_site::Endpoint
-        && m_crashes.onEndpointFailed(context.contentHash, context.endpoint, now)) {
+        && m_crashes.onEndpointFailed(context.contentHash, {context.endpoint, context.endpointBorn}, now)) {
         logRequest(log_level::Warning, "endpoint_broke", context,
                    {{"endpoint", context.endpoint}, {"content", context.contentHash}}, now);
     }
--- a/src/gateway/internal/request_context.h
+++ b/src/gateway/internal/request_context.h
@@ -73,6 +73,7 @@
     std::optional<time_point> waitingForPermitSince;
     std::optional<dispatch_id> dispatch;
     std::string endpoint;
+    std::uint64_t endpointBorn = 0;
     time_point dispatchedAt;
     std::optional<link_id> relay; // The link to the peer that sends the dispatch; unset if this daemon does.
     bool heardFromEndpoint = false; // Of the dispatch.
--- a/src/peers/internal/peer_messages_generated.h
+++ b/src/peers/internal/peer_messages_generated.h
@@ -1797,7 +1797,9 @@
   typedef RunReportBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_REQUEST = 4,
-    VT_ENDPOINT = 6
+    VT_ENDPOINT = 6,
+    VT_BORN = 8,
+    VT_AGE_MS = 10
   };
   uint64_t request() const {
     return GetField<uint64_t>(VT_REQUEST, 0);
@@ -1805,11 +1807,19 @@
   const flatbuffers::String *endpoint() const {
     return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
   }
+  uint64_t born() const {
+    return GetField<uint64_t>(VT_BORN, 0);
+  }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
            VerifyOffsetRequired(verifier, VT_ENDPOINT) &&
            verifier.VerifyString(endpoint()) &&
+           VerifyField<uint64_t>(verifier, VT_BORN, 8) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -1824,6 +1834,12 @@
   void add_endpoint(flatbuffers::Offset<flatbuffers::String> endpoint) {
     fbb_.AddOffset(RunReport::VT_ENDPOINT, endpoint);
   }
+  void add_born(uint64_t born) {
+    fbb_.AddElement<uint64_t>(RunReport::VT_BORN, born, 0);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(RunReport::VT_AGE_MS, age_ms, 0);
+  }
   explicit RunReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1839,9 +1855,13 @@
 inline flatbuffers::Offset<RunReport> CreateRunReport(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t request = 0,
-    flatbuffers::Offset<flatbuffers::String> endpoint = 0) {
+    flatbuffers::Offset<flatbuffers::String> endpoint = 0,
+    uint64_t born = 0,
+    uint32_t age_ms = 0) {
   RunReportBuilder builder_(_fbb);
+  builder_.add_born(born);
   builder_.add_request(request);
+  builder_.add_age_ms(age_ms);
   builder_.add_endpoint(endpoint);
   return builder_.Finish();
 }
@@ -1849,12 +1869,16 @@
 inline flatbuffers::Offset<RunReport> CreateRunReportDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t request = 0,
-    const char *endpoint = nullptr) {
+    const char *endpoint = nullptr,
+    uint64_t born = 0,
+    uint32_t age_ms = 0) {
   auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
   return jackdawpick::peers::fbs::CreateRunReport(
       _fbb,
       request,
-      endpoint__);
+      endpoint__,
+      born,
+      age_ms);
 }
 
 struct RunReports FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/peers/peers.cc
+++ b/src/peers/peers.cc
@@ -196,7 +196,9 @@
 {
     std::vector<flatbuffers::Offset<fbs::RunReport>> reports;
     std::ranges::transform(value.reports, std::back_inserter(reports), [&out](const auto &report) {
-        return fbs::CreateRunReport(out, report.request, out.CreateString(report.endpoint));
+        const auto failed = report.failed.value_or(crashes::endpoint_incarnation{});
+        return fbs::CreateRunReport(out, report.request, out.CreateString(failed.id), failed.born,
+                                    static_cast<std::uint32_t>(report.age.count()));
     });
     return fbs::CreateRunReports(out, out.CreateVector(reports)).Union();
 }
@@ -319,7 +321,11 @@
 {
     run_reports value;
     std::ranges::transform(*body.reports(), std::back_inserter(value.reports), [](const auto *report) {
-        return crashes::run_report{.request = report->request(), .endpoint = report->endpoint()->str()};
+        crashes::run_report result{.request = report->request(), .age = std::chrono::milliseconds(report->age_ms())};
+        if (!report->endpoint()->str().empty()) {
+            result.failed = crashes::endpoint_incarnation{report->endpoint()->str(), report->born()};
+        }
+        return result;
     });
     return value;
 }
