Tell a daemon all known crashes when a link to it opens

A failure was broadcast once, on the links that were open at that moment.

What a daemon knows, also from others, is now part of what a new link exchanges, as the marks of turns are.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -54,6 +54,7 @@
     std::size_t peersAlive = 0;
     std::size_t endpointsKnown = 0;
     std::size_t endpointsLimited = 0; // Endpoints that state a rate limit.
+    std::size_t requestsBlocked = 0; // Because they crash endpoints.
     bool endpointsReachable = true; // From this daemon.
     bool storeReachable = false;
     bool storeFull = false; // The store refuses appends for lack of room.
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -3,8 +3,8 @@
 // The state and the event handlers of the gateway, grouped by file: requests.cc (arrival, refusal, completion),
 // budgets.cc (reservations), turns.cc (histories), turn_writes.cc (their records), turn_trimming.cc (deletion of
 // these), dispatching.cc (endpoints), endpoint_limits.cc (their rate limits), relaying.cc (paths to them, dispatch
-// through peers), platform_state.cc (store, watches, reports), peer_links.cc (the other daemons), shutdown.cc
-// (readiness and shutdown).
+// through peers), crash_reports.cc (requests that crash endpoints), platform_state.cc (store, watches, reports),
+// peer_links.cc (the other daemons), shutdown.cc (readiness and shutdown).
 
 #include "admission/admission.h"
 #include "gateway/gateway.h"
@@ -266,10 +266,17 @@
     void repeatUnanswered(time_point now);
     [[nodiscard]] bool isSilent(time_point now) const;
 
+    // crash_reports.cc
+    void on(link_id link, const peers::run_reports &message, time_point now);
+    // Tells a peer that may have missed reports all that is known.
+    void sendKnownCrashes(link_id link, time_point now);
+    void applyRunReports(const std::vector<crashes::run_report> &reports, const std::string &source, time_point now);
+    void logBlockChanges(std::string_view source);
+    void tickCrashes(time_point now);
+
     // platform_state.cc
     void on(link_id link, const peers::hello &message, time_point now);
     void on(link_id link, const peers::heartbeat &message, time_point now);
-    void on(link_id link, const peers::run_reports &message, time_point now);
     void on(link_id link, const peers::store_request &message, time_point now);
     void on(link_id link, const peers::store_response &message, time_point now);
     void startStoreCall(internal::store_call_owner owner, store::call call, time_point now);
--- a/src/gateway/peer_links.cc
+++ b/src/gateway/peer_links.cc
@@ -12,6 +12,7 @@
     m_peers.onOpened(received, ownHeartbeat(now), m_effects);
     if (!received.incoming) {
         sendTurnMarks(received.link, now);
+        sendKnownCrashes(received.link, now);
     }
 }
 
@@ -33,11 +34,6 @@
     applyLimitReports(peer, message.limits, now);
 }
 
-void gateway::implementation::on(link_id /*link*/, const peers::run_reports &message, time_point now)
-{
-    std::ranges::for_each(message.reports, [&](const auto &report) { m_crashes.onReport(report, now); });
-}
-
 void gateway::implementation::on(link_id link, const peers::store_request &message, time_point now)
 {
     startStoreCall(internal::peer_owner{link, message.id}, message.what, now);
@@ -80,9 +76,6 @@
         applyConnectionLimits(now);
     }
     assignPermits(now);
-    if (auto reports = m_crashes.takeReports(); !reports.empty()) {
-        m_peers.broadcast(peers::run_reports{std::move(reports)}, m_effects);
-    }
 }
 
 } // namespace jackdawpick::gateway
--- a/src/gateway/platform_state.cc
+++ b/src/gateway/platform_state.cc
@@ -59,6 +59,7 @@
     updateStoreState(now);
     checkPaths(now);
     tickPeers(now);
+    tickCrashes(now);
     tickShutdown(now);
     return std::exchange(m_effects, {});
 }
@@ -398,6 +399,7 @@
             .peersAlive = m_peers.aliveCount(now),
             .endpointsKnown = m_pool.size(),
             .endpointsLimited = m_limits.inForce().size(),
+            .requestsBlocked = m_crashes.blockedCount(now),
             .endpointsReachable = !m_paths.isCutOff(),
             .storeReachable = m_store.paths().isDirectPathUp(now),
             .storeFull = m_store.room().isFull(),
@@ -435,6 +437,7 @@
                                {"endpoints_reachable", !m_paths.isCutOff()},
                                {"open_requests", m_requests.size()},
                                {"relayed_requests", m_relayed.size()},
+                               {"blocked_requests", m_crashes.blockedCount(now)},
                                {"endpoints", m_pool.size()},
                                {"loads", loads},
                                {"peers_alive", peers},
--- a/src/gateway_daemon/gateway_daemon.cc
+++ b/src/gateway_daemon/gateway_daemon.cc
@@ -240,6 +240,7 @@
     m_metrics.set(metric::PeersAlive, {}, static_cast<double>(status.peersAlive));
     m_metrics.set(metric::EndpointsKnown, {}, static_cast<double>(status.endpointsKnown));
     m_metrics.set(metric::EndpointsLimited, {}, static_cast<double>(status.endpointsLimited));
+    m_metrics.set(metric::RequestsBlocked, {}, static_cast<double>(status.requestsBlocked));
     m_metrics.set(metric::EndpointsReachable, {}, status.endpointsReachable ? 1 : 0);
     m_metrics.set(metric::StoreReachable, {}, status.storeReachable ? 1 : 0);
     m_metrics.set(metric::StoreFull, {}, status.storeFull ? 1 : 0);
--- a/src/metrics/metrics.cc
+++ b/src/metrics/metrics.cc
@@ -72,6 +72,8 @@
         "Endpoints in the list, those included that are leaving."},
     row{metric::EndpointsLimited, "jackdawpick_endpoints_limited", Gauge, "endpoints", "",
         "Endpoints that state a rate limit in their responses."},
+    row{metric::RequestsBlocked, "jackdawpick_requests_blocked", Gauge, "requests", "",
+        "Requests that are refused because they crash the endpoints that run them."},
     row{metric::EndpointsReachable, "jackdawpick_endpoints_reachable", Gauge, "0 or 1", "",
         "1 while this daemon can connect to endpoints; else peers relay its requests."},
     row{metric::DroppedLogLines, "jackdawpick_dropped_log_lines_total", Counter, "lines", "",
--- a/src/metrics/metrics.h
+++ b/src/metrics/metrics.h
@@ -58,6 +58,7 @@
     PeersAlive,
     EndpointsKnown,
     EndpointsLimited,
+    RequestsBlocked,
     EndpointsReachable,
     DroppedLogLines,
     EndpointFailures,
