Put the end of an endpoint down to the requests that ended there without a response

A crash counted only if the daemon saw the end of the connection.

Entries that may have expired in an outage of the store are no such evidence, and neither is a lost connection while this daemon has lost its paths: that one counted as a crash before and is now an unknown outcome.

--- a/src/fleet/endpoint_pool.cc
+++ b/src/fleet/endpoint_pool.cc
@@ -224,6 +224,12 @@
     return m_endpoints.size();
 }
 
+std::optional<std::uint64_t> endpoint_pool::bornOf(const std::string &id) const
+{
+    const auto found = m_endpoints.find(id);
+    return found == m_endpoints.end() ? std::nullopt : std::optional(found->second.entry.born);
+}
+
 bool endpoint_pool::isUsable(const endpoint &value, time_point now) const
 {
     return !value.entry.draining && !value.leaving && (!value.removedAt.has_value() || *value.removedAt > now);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -137,6 +137,8 @@
     // Returns 0 if the service has no usable endpoint.
     [[nodiscard]] double utilisation(const std::string &service, time_point now) const;
     [[nodiscard]] std::size_t size() const;
+    // When the endpoint started, as in endpoint_entry; nothing if it is not known.
+    [[nodiscard]] std::optional<std::uint64_t> bornOf(const std::string &id) const;
 
 private:
     struct endpoint
--- a/src/gateway/crash_reports.cc
+++ b/src/gateway/crash_reports.cc
@@ -8,6 +8,46 @@
 namespace jackdawpick::gateway
 {
 
+// The endpoint may or may not be alive; if it turns out to have ended, the request counts as the cause.
+void gateway::implementation::noteOutcomeUnknown(const request_context &context, time_point now)
+{
+    m_crashes.onOutcomeUnknown(context.contentHash, {context.endpoint, context.endpointBorn}, now);
+}
+
+void gateway::implementation::noteRunFailure(const request_context &context, dispatch_outcome outcome,
+                                             failure_site where, time_point now)
+{
+    const bool hasPath = context.relay.has_value() || !m_paths.isCutOff();
+    if (outcome == dispatch_outcome::NotSent) {
+        if (where == failure_site::Endpoint && !context.relay.has_value() && hasPath) {
+            noteEndpointGone(context.endpoint, now);
+        }
+    } else if (where == failure_site::Path || outcome == dispatch_outcome::TimedOut || !hasPath) {
+        noteOutcomeUnknown(context, now);
+    } else if (where == failure_site::Endpoint
+               && m_crashes.onEndpointFailed(context.contentHash, {context.endpoint, context.endpointBorn}, now)) {
+        logRequest(log_level::Warning, "endpoint_broke", context,
+                   {{"endpoint", context.endpoint}, {"content", context.contentHash}}, now);
+    }
+}
+
+void gateway::implementation::noteEndpointGone(const std::string &endpoint, time_point now)
+{
+    for (const auto content : m_crashes.onEndpointGone(endpoint, now)) {
+        log(log_level::Warning, "endpoint_broke", {{"endpoint", endpoint}, {"content", content}, {"gone", true}});
+    }
+}
+
+// Endpoints that a complete listing does not name have ended too.
+void gateway::implementation::noteUnlistedEndpoints(const std::set<std::string> &listed, time_point now)
+{
+    for (const auto &endpoint : m_crashes.suspectedEndpoints()) {
+        if (!listed.contains(endpoint)) {
+            noteEndpointGone(endpoint, now);
+        }
+    }
+}
+
 void gateway::implementation::sendKnownCrashes(link_id link, time_point now)
 {
     if (auto reports = m_crashes.allReports(now); !reports.empty()) {
--- a/src/gateway/dispatching.cc
+++ b/src/gateway/dispatching.cc
@@ -354,15 +354,11 @@
                 {"answered", context.responseStarted}},
                now);
     const bool isEndpointFailure = where != failure_site::Path;
+    noteRunFailure(context, outcome, where, now);
     if (notSent && isEndpointFailure && !context.relay.has_value()) {
         context.unsentDirectly = true;
         m_paths.onConnectFailed(context.endpoint, now);
     }
-    if (outcome == dispatch_outcome::Lost && where == failure_site::Endpoint
-        && m_crashes.onEndpointFailed(context.contentHash, {context.endpoint, context.endpointBorn}, now)) {
-        logRequest(log_level::Warning, "endpoint_broke", context,
-                   {{"endpoint", context.endpoint}, {"content", context.contentHash}}, now);
-    }
     const auto evidence = notSent ? fleet::request_outcome::Unreachable : fleet::request_outcome::ConnectionLost;
     releaseEndpoint(context, isEndpointFailure ? evidence : fleet::request_outcome::Cancelled, now);
     context.attempts += notSent ? 0 : 1;
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -268,6 +268,10 @@
 
     // crash_reports.cc
     void on(link_id link, const peers::run_reports &message, time_point now);
+    void noteRunFailure(const request_context &context, dispatch_outcome outcome, failure_site where, time_point now);
+    void noteOutcomeUnknown(const request_context &context, time_point now);
+    void noteEndpointGone(const std::string &endpoint, time_point now);
+    void noteUnlistedEndpoints(const std::set<std::string> &listed, time_point now);
     // Tells a peer that may have missed reports all that is known.
     void sendKnownCrashes(link_id link, time_point now);
     void applyRunReports(const std::vector<crashes::run_report> &reports, const std::string &source, time_point now);
--- a/src/gateway/platform_state.cc
+++ b/src/gateway/platform_state.cc
@@ -348,6 +348,9 @@
     for (const auto &record : update.records) {
         if (record.value.empty()) {
             m_pool.remove(record.key, mayHaveExpired, now);
+            if (!mayHaveExpired) {
+                noteEndpointGone(record.key, now);
+            }
             log(log_level::Info, "endpoint_withdrawn",
                 {{"endpoint", record.key}, {"offset", record.offset}, {"may_have_lapsed", mayHaveExpired}});
             continue;
@@ -357,6 +360,9 @@
             log(log_level::Warning, "endpoint_unreadable", {{"key", record.key}, {"offset", record.offset}});
             continue;
         }
+        if (m_pool.bornOf(entry->id).value_or(entry->born) != entry->born) {
+            noteEndpointGone(entry->id, now);
+        }
         const bool isChanged = m_pool.upsert(*entry, now);
         m_pool.setRateLimit(entry->id, m_limits.rateOf(entry->id));
         if (isChanged) {
@@ -370,6 +376,9 @@
     }
     if (update.allKeys.has_value()) {
         m_pool.keepOnly(*update.allKeys, mayHaveExpired, now);
+        if (!mayHaveExpired) {
+            noteUnlistedEndpoints(*update.allKeys, now);
+        }
     }
 }
 
--- a/src/gateway/requests.cc
+++ b/src/gateway/requests.cc
@@ -109,6 +109,7 @@
     }
     if (context->dispatch.has_value()) {
         cancelDispatch(*context);
+        noteOutcomeUnknown(*context, now);
         releaseEndpoint(*context, fleet::request_outcome::Cancelled, now);
     }
     finishRequest(*context, "caller_gone", now);
@@ -203,6 +204,7 @@
     }
     if (context.dispatch.has_value()) {
         cancelDispatch(context);
+        noteOutcomeUnknown(context, now);
         // An endpoint that knows the deadline and still sends a body is not sound. One that has not begun may be full.
         const bool sendsOn = context.responseStarted && !context.eventStream;
         releaseEndpoint(context, sendsOn ? fleet::request_outcome::ConnectionLost : fleet::request_outcome::Cancelled,
