Count crashes at the daemon that relays a request, and ask there before it is sent

Only the daemon that serves the caller counted the crashes of relayed requests.

The relayed request names its content and the start of its endpoint, so that the peer refuses it, counts a lost connection, and remembers a dispatch that it cancels. Both daemons count the same crash; it has one key, so it counts once.

--- a/src/endpoint_calls/endpoint_calls.h
+++ b/src/endpoint_calls/endpoint_calls.h
@@ -33,6 +33,8 @@
 {
     std::string address; // "ip:port"
     std::string endpoint; // Expected id; an endpoint with another id must not run the request.
+    std::uint64_t endpointBorn = 0; // As in endpoint_incarnation.
+    std::uint64_t content = 0; // Identifies the request over all its attempts.
     std::string attempt;
     std::string method;
     std::string host;
--- a/src/gateway/dispatching.cc
+++ b/src/gateway/dispatching.cc
@@ -154,6 +154,8 @@
     const bool toEngine = context.route->kind == routing::request_kind::Stream;
     return {.address = chosen.address,
             .endpoint = chosen.id,
+            .endpointBorn = chosen.born,
+            .content = context.contentHash,
             .attempt = request.attempt,
             .method = request.method,
             .host = request.host,
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -239,7 +239,8 @@
     {
         link_id link{};
         std::uint64_t request = 0; // Chosen by the peer.
-        std::string endpoint;
+        endpoint_calls::endpoint_incarnation endpoint;
+        std::uint64_t content = 0; // As in endpoint_request.
         std::size_t bytes = 0; // Of the response, passed on so far.
     };
 
@@ -261,7 +262,8 @@
     void on(link_id link, const peers::relayed_chunk &message, time_point now);
     void on(link_id link, const peers::relayed_end &message, time_point now);
     void on(link_id link, const peers::relayed_cancel &message, time_point now);
-    void cancelRelayedFor(link_id link);
+    void cancelRelayed(dispatch_id id, const relayed_dispatch &dispatch, time_point now);
+    void cancelRelayedFor(link_id link, time_point now);
     void checkPaths(time_point now);
     void repeatUnanswered(time_point now);
     [[nodiscard]] bool isSilent(time_point now) const;
--- a/src/gateway/peer_links.cc
+++ b/src/gateway/peer_links.cc
@@ -51,7 +51,7 @@
     m_store.onLinkClosed(received.link);
     abandonPeerRequests(received.link, now);
     onRelayLost(received.link, now);
-    cancelRelayedFor(received.link);
+    cancelRelayedFor(received.link, now);
     const auto name = m_peers.onClosed(received.link, now);
     if (!name.empty()) {
         log(log_level::Warning, "peer_link_closed", {{"peer", name}});
--- a/src/gateway/relaying.cc
+++ b/src/gateway/relaying.cc
@@ -197,14 +197,16 @@
 
 // ---- At the daemon that sends the request for a peer ----
 
-void gateway::implementation::on(link_id link, const peers::relayed_request &message, time_point /*now*/)
+void gateway::implementation::on(link_id link, const peers::relayed_request &message, time_point now)
 {
-    const bool accepted = m_relayed.size() < maxRelayedRequests && !m_paths.isCutOff() && !m_stopped;
+    const bool blocked = m_crashes.isBlocked(message.request.content, now);
+    const bool accepted = m_relayed.size() < maxRelayedRequests && !m_paths.isCutOff() && !m_stopped && !blocked;
     log(log_level::Info, accepted ? "request_relayed" : "relay_refused",
         {{"request", message.request.attempt},
          {"endpoint", message.request.endpoint},
          {"peer", m_peers.nameOf(link)},
          {"relayed", m_relayed.size()},
+         {"blocked", blocked},
          {"endpoints_reachable", !m_paths.isCutOff()}});
     if (!accepted) {
         m_effects.emplace_back(increment_counter{metric::RelayedRequests, "refused", {}});
@@ -213,7 +215,10 @@
     }
     const dispatch_id dispatch{++m_lastDispatch};
     m_relayed.emplace(dispatch,
-                      relayed_dispatch{.link = link, .request = message.id, .endpoint = message.request.endpoint});
+                      relayed_dispatch{.link = link,
+                                       .request = message.id,
+                                       .endpoint = {message.request.endpoint, message.request.endpointBorn},
+                                       .content = message.request.content});
     m_effects.emplace_back(start_dispatch{dispatch, message.request});
 }
 
@@ -249,8 +254,13 @@
     if (found == m_relayed.end()) {
         return;
     }
+    const auto &[link, request, endpoint, content, bytes] = found->second;
     if (received.outcome == dispatch_outcome::NotSent) {
-        m_paths.onConnectFailed(found->second.endpoint, now);
+        m_paths.onConnectFailed(endpoint.id, now);
+    } else if (received.outcome == dispatch_outcome::Lost) {
+        m_crashes.onEndpointFailed(content, endpoint, now);
+    } else if (received.outcome == dispatch_outcome::TimedOut) {
+        m_crashes.onOutcomeUnknown(content, endpoint, now);
     }
     m_lastRequestFinishedAt = now;
     endRelayed(received.dispatch, received.outcome);
@@ -263,22 +273,28 @@
     m_effects.emplace_back(send_message{node.mapped().link, peers::relayed_end{node.mapped().request, outcome, true}});
 }
 
-void gateway::implementation::on(link_id link, const peers::relayed_cancel &message, time_point /*now*/)
+void gateway::implementation::cancelRelayed(dispatch_id id, const relayed_dispatch &dispatch, time_point now)
+{
+    m_effects.emplace_back(cancel_dispatch{id});
+    m_crashes.onOutcomeUnknown(dispatch.content, dispatch.endpoint, now);
+}
+
+void gateway::implementation::on(link_id link, const peers::relayed_cancel &message, time_point now)
 {
     const auto found = std::ranges::find_if(
         m_relayed, [&](const auto &entry) { return entry.second.link == link && entry.second.request == message.id; });
     if (found != m_relayed.end()) {
-        m_effects.emplace_back(cancel_dispatch{found->first});
+        cancelRelayed(found->first, found->second, now);
         m_relayed.erase(found);
     }
 }
 
-void gateway::implementation::cancelRelayedFor(link_id link)
+void gateway::implementation::cancelRelayedFor(link_id link, time_point now)
 {
     std::erase_if(m_relayed, [&](const auto &entry) {
         const bool isOfLink = entry.second.link == link;
         if (isOfLink) {
-            m_effects.emplace_back(cancel_dispatch{entry.first});
+            cancelRelayed(entry.first, entry.second, now);
         }
         return isOfLink;
     });
--- a/src/peers/internal/peer_messages_generated.h
+++ b/src/peers/internal/peer_messages_generated.h
@@ -2152,7 +2152,9 @@
     VT_BODY = 20,
     VT_REMAINING_MS = 22,
     VT_HAS_PRIORITY = 24,
-    VT_PRIORITY = 26
+    VT_PRIORITY = 26,
+    VT_ENDPOINT_BORN = 28,
+    VT_CONTENT = 30
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -2190,6 +2192,12 @@
   int32_t priority() const {
     return GetField<int32_t>(VT_PRIORITY, 0);
   }
+  uint64_t endpoint_born() const {
+    return GetField<uint64_t>(VT_ENDPOINT_BORN, 0);
+  }
+  uint64_t content() const {
+    return GetField<uint64_t>(VT_CONTENT, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -2213,6 +2221,8 @@
            VerifyField<uint32_t>(verifier, VT_REMAINING_MS, 4) &&
            VerifyField<uint8_t>(verifier, VT_HAS_PRIORITY, 1) &&
            VerifyField<int32_t>(verifier, VT_PRIORITY, 4) &&
+           VerifyField<uint64_t>(verifier, VT_ENDPOINT_BORN, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CONTENT, 8) &&
            verifier.EndTable();
   }
 };
@@ -2257,6 +2267,12 @@
   void add_priority(int32_t priority) {
     fbb_.AddElement<int32_t>(RelayedRequest::VT_PRIORITY, priority, 0);
   }
+  void add_endpoint_born(uint64_t endpoint_born) {
+    fbb_.AddElement<uint64_t>(RelayedRequest::VT_ENDPOINT_BORN, endpoint_born, 0);
+  }
+  void add_content(uint64_t content) {
+    fbb_.AddElement<uint64_t>(RelayedRequest::VT_CONTENT, content, 0);
+  }
   explicit RelayedRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2289,8 +2305,12 @@
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0,
     uint32_t remaining_ms = 0,
     bool has_priority = false,
-    int32_t priority = 0) {
+    int32_t priority = 0,
+    uint64_t endpoint_born = 0,
+    uint64_t content = 0) {
   RelayedRequestBuilder builder_(_fbb);
+  builder_.add_content(content);
+  builder_.add_endpoint_born(endpoint_born);
   builder_.add_id(id);
   builder_.add_priority(priority);
   builder_.add_remaining_ms(remaining_ms);
@@ -2319,7 +2339,9 @@
     const std::vector<uint8_t> *body = nullptr,
     uint32_t remaining_ms = 0,
     bool has_priority = false,
-    int32_t priority = 0) {
+    int32_t priority = 0,
+    uint64_t endpoint_born = 0,
+    uint64_t content = 0) {
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
   auto attempt__ = attempt ? _fbb.CreateString(attempt) : 0;
@@ -2341,7 +2363,9 @@
       body__,
       remaining_ms,
       has_priority,
-      priority);
+      priority,
+      endpoint_born,
+      content);
 }
 
 struct RelayedHead FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/peers/peers.cc
+++ b/src/peers/peers.cc
@@ -244,7 +244,8 @@
     const auto body = encodeBytes(out, request.body);
     return fbs::CreateRelayedRequest(out, value.id, address, endpoint, attempt, method, host, target, headers, body,
                                      static_cast<std::uint32_t>(std::max<std::int64_t>(request.remaining.count(), 0)),
-                                     request.priority.has_value(), request.priority.value_or(0))
+                                     request.priority.has_value(), request.priority.value_or(0), request.endpointBorn,
+                                     request.content)
         .Union();
 }
 
@@ -444,6 +445,8 @@
     return {.id = body.id(),
             .request = {.address = decode(body.address()),
                         .endpoint = decode(body.endpoint()),
+                        .endpointBorn = body.endpoint_born(),
+                        .content = body.content(),
                         .attempt = decode(body.attempt()),
                         .method = decode(body.method()),
                         .host = decode(body.host()),
