Keep requests that crash endpoints in the store

From the second failure on, one daemon writes the request with its failures under a key of its own into the partition that holds the addresses of the daemons, which each daemon reads anyway: no further watch, one write for each such request. The daemon is the first by rendezvous hashing; others write if the record does not appear. A success or the end of the retention deletes it.

--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -279,6 +279,13 @@
     void applyRunReports(const std::vector<crashes::run_report> &reports, const std::string &source, time_point now);
     void logBlockChanges(std::string_view source);
     void tickCrashes(time_point now);
+    // An empty value deletes the record.
+    void writeCrashRecord(std::uint64_t content, std::string value, time_point now);
+    void writeDueCrashRecords(time_point now);
+    [[nodiscard]] std::optional<time_point> nextCrashWrite() const;
+    // Returns whether the record is one of a request that crashes endpoints.
+    bool applyCrashRecord(const store::record &record, time_point now);
+    void evictCrashes(time_point now);
 
     // platform_state.cc
     void on(link_id link, const peers::hello &message, time_point now);
@@ -294,6 +301,7 @@
     void complete(const internal::turn_read_owner &owner, const store::reply &result, time_point now);
     void complete(const internal::registration_owner &owner, const store::reply &result, time_point now);
     void complete(const internal::probe_owner &owner, const store::reply &result, time_point now);
+    void complete(const internal::crash_record_owner &owner, const store::reply &result, time_point now);
     void complete(const internal::peer_owner &owner, const store::reply &result, time_point now);
     void onLogOutput(store::start_call &output, time_point now);
     void onLogOutput(const store::deliver_records &output, time_point now);
@@ -323,6 +331,8 @@
     std::shared_ptr<const routing::route_table> m_table;
     fleet::endpoint_pool m_pool;
     crashes::crash_tracker m_crashes;
+    std::map<std::uint64_t, time_point> m_crashWriteAt; // Requests that are to be stored, and when by this daemon.
+    time_point m_crashCheckAt{};
     limits::limit_table m_limits;
     limits::permit_issuer m_permits;
     std::map<std::uint64_t, pending_peer_request> m_pendingPermits;
--- a/src/gateway/internal/store_access.h
+++ b/src/gateway/internal/store_access.h
@@ -56,6 +56,11 @@
 {
 };
 
+// A record of a request that crashes endpoints.
+struct crash_record_owner
+{
+};
+
 struct budget_owner
 {
     store::partition where;
@@ -69,7 +74,7 @@
 };
 
 using store_call_owner = std::variant<partition_log_owner, budget_owner, watch_owner, turn_read_owner,
-                                      registration_owner, trim_owner, probe_owner, peer_owner>;
+                                      registration_owner, trim_owner, probe_owner, crash_record_owner, peer_owner>;
 
 struct store_completion
 {
--- a/src/gateway/platform_state.cc
+++ b/src/gateway/platform_state.cc
@@ -78,7 +78,7 @@
         m_turns.evictExpired(now);
         std::erase_if(m_partitionBackoffUntil, [now](const auto &entry) { return entry.second <= now; });
         evictIdleBudgets(now);
-        m_crashes.evictExpired(now);
+        evictCrashes(now);
         evictExpiredLimits(now);
     }
 }
@@ -95,6 +95,7 @@
     consider(nextBudgetDeadline());
     consider(nextTrimCheck());
     consider(nextWaitingDispatch());
+    consider(nextCrashWrite());
     consider(m_paths.nextProbe());
     consider(m_store.nextDeadline());
     consider(m_peers.nextDeadline());
@@ -385,6 +386,9 @@
 void gateway::implementation::applyDaemons(const internal::watch_update &update, time_point now)
 {
     for (const auto &record : update.records) {
+        if (applyCrashRecord(record, now)) {
+            continue;
+        }
         if (record.value.empty()) {
             m_peers.remove(record.key, m_effects);
             m_pool.removePeer(record.key);
