--- a/src/endpoint_calls/endpoint_calls.h
+++ b/src/endpoint_calls/endpoint_calls.h
@@ -46,12 +46,16 @@
     bool operator==(const endpoint_request &) const = default;
 };
 
+// The status with which an endpoint answers a request that expects another endpoint.
+inline constexpr std::uint16_t misdirectedRequest = 421;
+
 // Status and headers of an endpoint's response.
 struct endpoint_head
 {
     std::uint16_t status = 0;
     bool hasEndpointSignature = false; // Carries the signature header of an endpoint.
     bool notExecuted = false; // The endpoint states that it did not run the request.
+    bool leaving = false; // The endpoint states that it is leaving and takes no new requests.
     std::optional<double> rateLimit; // Requests per second that the endpoint takes from all daemons together.
     header_list headers; // Forwarded to the caller.
     std::optional<std::uint64_t> contentLength;
--- a/src/fleet/endpoint_pool.cc
+++ b/src/fleet/endpoint_pool.cc
@@ -61,6 +61,26 @@
     }
 }
 
+bool endpoint_pool::onLeavingStated(const endpoint_incarnation &stated, time_point now)
+{
+    return m_leaving.onStated(stated, now);
+}
+
+bool endpoint_pool::onLeavingReported(const endpoint_incarnation &reported, time_point now)
+{
+    return m_leaving.onReport(reported, now);
+}
+
+std::vector<endpoint_incarnation> endpoint_pool::leavingStatements() const
+{
+    return m_leaving.ownStatements();
+}
+
+void endpoint_pool::evictExpiredStatements(time_point now)
+{
+    m_leaving.evictExpired([this](const auto &stated) { return bornOf(stated.id) == stated.born; }, now);
+}
+
 void endpoint_pool::setConnectionLimit(const std::string &service, std::uint32_t maxConnections, std::size_t daemons)
 {
     if (maxConnections == 0) {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -13,8 +13,10 @@
 // Performs no I/O and reads no clock. Thread compatible.
 
 #include "clock/clock.h"
+#include "endpoint_calls/endpoint_calls.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -79,6 +81,36 @@
 // Number of requests in flight from one daemon, by endpoint id.
 using endpoint_loads = std::vector<std::pair<std::string, std::uint32_t>>;
 
+using endpoint_calls::endpoint_incarnation;
+
+// Endpoints that have stated in a response, to this daemon or another one, that they are leaving. A statement holds for
+// one start of an endpoint and is not taken back: an endpoint that has left comes back with another start time.
+class leaving_table
+{
+public:
+    // Statements about endpoints that are no longer listed are forgotten after this time.
+    static constexpr std::chrono::seconds statementLifetime{600};
+
+    // A response to this daemon, or another daemon's report, stated it. Return whether it was not known.
+    bool onStated(const endpoint_incarnation &endpoint, time_point now);
+    bool onReport(const endpoint_incarnation &endpoint, time_point now);
+    [[nodiscard]] bool contains(const endpoint_incarnation &endpoint) const;
+    // What endpoints stated to this daemon. Reports are not passed on: they would circulate without end.
+    [[nodiscard]] std::vector<endpoint_incarnation> ownStatements() const;
+    void evictExpired(const std::function<bool(const endpoint_incarnation &)> &isListed, time_point now);
+
+private:
+    struct statement
+    {
+        bool own = false;
+        time_point heardAt;
+    };
+
+    bool apply(const endpoint_incarnation &endpoint, bool own, time_point now);
+
+    std::map<endpoint_incarnation, statement> m_statements;
+};
+
 class endpoint_pool
 {
 public:
@@ -104,6 +136,14 @@
     // address, until an entry shows that it has started again or moved.
     void markLeaving(const std::string &id);
 
+    // The endpoint stated in a response to this daemon, or to a peer, that it is leaving: it is not selected any more.
+    // Return whether that was not known.
+    bool onLeavingStated(const endpoint_incarnation &stated, time_point now);
+    bool onLeavingReported(const endpoint_incarnation &reported, time_point now);
+    // The statements in responses to this daemon.
+    [[nodiscard]] std::vector<endpoint_incarnation> leavingStatements() const;
+    void evictExpiredStatements(time_point now);
+
     // Limits this daemon's connections to each endpoint of the service to an equal share among `daemons`;
     // `maxConnections` is what an endpoint accepts from all of them, 0 removes the limit.
     void setConnectionLimit(const std::string &service, std::uint32_t maxConnections, std::size_t daemons);
@@ -199,6 +239,7 @@
     void evictRemoved(time_point now);
 
     std::map<std::string, endpoint> m_endpoints;
+    leaving_table m_leaving;
     std::map<std::string, std::uint32_t> m_connectionLimits; // For this daemon, by service.
     std::map<std::string, peer_report> m_peers;
 };
--- a/src/gateway/dispatching.cc
+++ b/src/gateway/dispatching.cc
@@ -10,6 +10,7 @@
 namespace
 {
 
+using endpoint_calls::misdirectedRequest;
 using std::chrono::milliseconds;
 
 // Dispatches per request, including those that the endpoint rejects.
@@ -30,7 +31,6 @@
 // A stream is broken off when it exceeds the request's most tokens by this factor. Budgets allow for one turn too much;
 // the last event may hold more tokens than were left.
 constexpr std::uint64_t toleratedTokenFactor = 2;
-constexpr std::uint16_t misdirectedRequest = 421;
 
 bool isEventStream(const header_list &headers)
 {
@@ -184,6 +184,7 @@
     noteResponse(context, now);
     auto &head = received.head;
     recordLimit(context, head.rateLimit, now);
+    noteLeaving({context.endpoint, context.endpointBorn}, head, now);
     if (head.notExecuted || head.status == misdirectedRequest) {
         onRejected(context, head, now);
     } else if (impliesNotExecuted(head.status) || (head.status / 100 == 2 && !head.hasEndpointSignature)) {
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -2,9 +2,9 @@
 
 // The state and the event handlers of the gateway, grouped by file: requests.cc (arrival, refusal, completion),
 // budgets.cc (reservations), turns.cc (histories), turn_writes.cc (their records), turn_trimming.cc (deletion of
-// these), dispatching.cc (endpoints), endpoint_limits.cc (their rate limits), relaying.cc (paths to them, dispatch
-// through peers), crash_reports.cc (requests that crash endpoints), platform_state.cc (store, watches, reports),
-// peer_links.cc (the other daemons), shutdown.cc (readiness and shutdown).
+// these), dispatching.cc (endpoints), endpoint_limits.cc (their rate limits), endpoint_leaving.cc (those that leave),
+// relaying.cc (paths to them, dispatch through peers), crash_reports.cc (requests that crash endpoints),
+// platform_state.cc (store, watches, reports), peer_links.cc (the other daemons), shutdown.cc (readiness and shutdown).
 
 #include "admission/admission.h"
 #include "gateway/gateway.h"
@@ -227,6 +227,13 @@
     void on(link_id link, const peers::permit_request &message, time_point now);
     void on(link_id link, const peers::permit_reply &message, time_point now);
 
+    // endpoint_leaving.cc
+    void noteLeaving(const endpoint_calls::endpoint_incarnation &endpoint, const endpoint_calls::endpoint_head &head,
+                     time_point now);
+    void applyLeavingReports(const std::string &peer, const std::vector<endpoint_calls::endpoint_incarnation> &reports,
+                             time_point now);
+    void logLeaving(const endpoint_calls::endpoint_incarnation &endpoint, std::string_view source);
+
     // relaying.cc
     struct relay_choice
     {
--- a/src/gateway/peer_links.cc
+++ b/src/gateway/peer_links.cc
@@ -32,6 +32,7 @@
     m_peers.onHeartbeat(link, message, now);
     m_pool.setPeerLoads(peer, message.loads, now);
     applyLimitReports(peer, message.limits, now);
+    applyLeavingReports(peer, message.leaving, now);
 }
 
 void gateway::implementation::on(link_id link, const peers::store_request &message, time_point now)
@@ -65,7 +66,8 @@
             .endpointsUnreachable = m_paths.isCutOff(),
             .configuration = m_table == nullptr ? 0 : m_table->source().version,
             .loads = m_pool.localLoads(),
-            .limits = m_limits.ownReports(now)};
+            .limits = m_limits.ownReports(now),
+            .leaving = m_pool.leavingStatements()};
 }
 
 void gateway::implementation::tickPeers(time_point now)
--- a/src/gateway/platform_state.cc
+++ b/src/gateway/platform_state.cc
@@ -80,6 +80,7 @@
         evictIdleBudgets(now);
         evictCrashes(now);
         evictExpiredLimits(now);
+        m_pool.evictExpiredStatements(now);
     }
 }
 
--- a/src/gateway/relaying.cc
+++ b/src/gateway/relaying.cc
@@ -226,6 +226,7 @@
 {
     if (const auto found = m_relayed.find(received.dispatch); found != m_relayed.end()) {
         m_lastHeardAt = now;
+        noteLeaving(found->second.endpoint, received.head, now);
         m_effects.emplace_back(
             send_message{found->second.link, peers::relayed_head{found->second.request, std::move(received.head)}});
     }
--- a/src/gateway/testing/gateway_world.h
+++ b/src/gateway/testing/gateway_world.h
@@ -48,6 +48,7 @@
     Hangs, // Runs the request and never responds.
     FailsUnmarked, // Runs the request and responds with 503, without stating whether it ran.
     Errs, // Runs the request and responds with 500.
+    IsAnother, // Another endpoint has the address; it does not run the request.
 };
 
 // A request that crashes the endpoints that run it. The endpoint is back after `downTime`.
@@ -155,6 +156,7 @@
     std::map<int, store_behaviour> storeBehaviours; // By daemon.
     std::map<std::string, endpoint_behaviour> endpointBehaviours; // By id; Responds if missing.
     std::optional<crashing_request> crashing;
+    std::set<std::string> leavingEndpoints; // Ids; these state in all responses that they are leaving.
     std::map<std::string, double> endpointLimits; // Rate limits that endpoints state, by id.
     std::map<std::string, endless_response> endlessResponses; // By endpoint id; precede the behaviour.
     std::size_t endlessBytes = 0; // Sent in endless responses.
--- a/src/peers/internal/peer_messages_generated.h
+++ b/src/peers/internal/peer_messages_generated.h
@@ -26,6 +26,9 @@
 struct Limit;
 struct LimitBuilder;
 
+struct Leaving;
+struct LeavingBuilder;
+
 struct Beat;
 struct BeatBuilder;
 
@@ -634,6 +637,70 @@
       age_ms);
 }
 
+struct Leaving FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LeavingBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ENDPOINT = 4,
+    VT_BORN = 6
+  };
+  const flatbuffers::String *endpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
+  }
+  uint64_t born() const {
+    return GetField<uint64_t>(VT_BORN, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_ENDPOINT) &&
+           verifier.VerifyString(endpoint()) &&
+           VerifyField<uint64_t>(verifier, VT_BORN, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct LeavingBuilder {
+  typedef Leaving Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_endpoint(flatbuffers::Offset<flatbuffers::String> endpoint) {
+    fbb_.AddOffset(Leaving::VT_ENDPOINT, endpoint);
+  }
+  void add_born(uint64_t born) {
+    fbb_.AddElement<uint64_t>(Leaving::VT_BORN, born, 0);
+  }
+  explicit LeavingBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Leaving> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Leaving>(end);
+    fbb_.Required(o, Leaving::VT_ENDPOINT);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Leaving> CreateLeaving(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> endpoint = 0,
+    uint64_t born = 0) {
+  LeavingBuilder builder_(_fbb);
+  builder_.add_born(born);
+  builder_.add_endpoint(endpoint);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Leaving> CreateLeavingDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *endpoint = nullptr,
+    uint64_t born = 0) {
+  auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
+  return jackdawpick::peers::fbs::CreateLeaving(
+      _fbb,
+      endpoint__,
+      born);
+}
+
 struct Beat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef BeatBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -642,7 +709,8 @@
     VT_CONFIGURATION = 8,
     VT_LOADS = 10,
     VT_LIMITS = 12,
-    VT_ENDPOINTS_UNREACHABLE = 14
+    VT_ENDPOINTS_UNREACHABLE = 14,
+    VT_LEAVING = 16
   };
   bool ready() const {
     return GetField<uint8_t>(VT_READY, 0) != 0;
@@ -662,6 +730,9 @@
   bool endpoints_unreachable() const {
     return GetField<uint8_t>(VT_ENDPOINTS_UNREACHABLE, 0) != 0;
   }
+  const flatbuffers::Vector<flatbuffers::Offset<jackdawpick::peers::fbs::Leaving>> *leaving() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<jackdawpick::peers::fbs::Leaving>> *>(VT_LEAVING);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_READY, 1) &&
@@ -674,6 +745,9 @@
            verifier.VerifyVector(limits()) &&
            verifier.VerifyVectorOfTables(limits()) &&
            VerifyField<uint8_t>(verifier, VT_ENDPOINTS_UNREACHABLE, 1) &&
+           VerifyOffset(verifier, VT_LEAVING) &&
+           verifier.VerifyVector(leaving()) &&
+           verifier.VerifyVectorOfTables(leaving()) &&
            verifier.EndTable();
   }
 };
@@ -700,6 +774,9 @@
   void add_endpoints_unreachable(bool endpoints_unreachable) {
     fbb_.AddElement<uint8_t>(Beat::VT_ENDPOINTS_UNREACHABLE, static_cast<uint8_t>(endpoints_unreachable), 0);
   }
+  void add_leaving(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<jackdawpick::peers::fbs::Leaving>>> leaving) {
+    fbb_.AddOffset(Beat::VT_LEAVING, leaving);
+  }
   explicit BeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -719,9 +796,11 @@
     uint64_t configuration = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<jackdawpick::peers::fbs::Load>>> loads = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<jackdawpick::peers::fbs::Limit>>> limits = 0,
-    bool endpoints_unreachable = false) {
+    bool endpoints_unreachable = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<jackdawpick::peers::fbs::Leaving>>> leaving = 0) {
   BeatBuilder builder_(_fbb);
   builder_.add_configuration(configuration);
+  builder_.add_leaving(leaving);
   builder_.add_limits(limits);
   builder_.add_loads(loads);
   builder_.add_endpoints_unreachable(endpoints_unreachable);
@@ -737,9 +816,11 @@
     uint64_t configuration = 0,
     const std::vector<flatbuffers::Offset<jackdawpick::peers::fbs::Load>> *loads = nullptr,
     const std::vector<flatbuffers::Offset<jackdawpick::peers::fbs::Limit>> *limits = nullptr,
-    bool endpoints_unreachable = false) {
+    bool endpoints_unreachable = false,
+    const std::vector<flatbuffers::Offset<jackdawpick::peers::fbs::Leaving>> *leaving = nullptr) {
   auto loads__ = loads ? _fbb.CreateVector<flatbuffers::Offset<jackdawpick::peers::fbs::Load>>(*loads) : 0;
   auto limits__ = limits ? _fbb.CreateVector<flatbuffers::Offset<jackdawpick::peers::fbs::Limit>>(*limits) : 0;
+  auto leaving__ = leaving ? _fbb.CreateVector<flatbuffers::Offset<jackdawpick::peers::fbs::Leaving>>(*leaving) : 0;
   return jackdawpick::peers::fbs::CreateBeat(
       _fbb,
       ready,
@@ -747,7 +828,8 @@
       configuration,
       loads__,
       limits__,
-      endpoints_unreachable);
+      endpoints_unreachable,
+      leaving__);
 }
 
 struct Bytes FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2379,7 +2461,8 @@
     VT_RATE_LIMIT = 14,
     VT_HEADERS = 16,
     VT_HAS_LENGTH = 18,
-    VT_CONTENT_LENGTH = 20
+    VT_CONTENT_LENGTH = 20,
+    VT_LEAVING = 22
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -2408,6 +2491,9 @@
   uint64_t content_length() const {
     return GetField<uint64_t>(VT_CONTENT_LENGTH, 0);
   }
+  bool leaving() const {
+    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -2421,6 +2507,7 @@
            verifier.VerifyVectorOfTables(headers()) &&
            VerifyField<uint8_t>(verifier, VT_HAS_LENGTH, 1) &&
            VerifyField<uint64_t>(verifier, VT_CONTENT_LENGTH, 8) &&
+           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
            verifier.EndTable();
   }
 };
@@ -2456,6 +2543,9 @@
   void add_content_length(uint64_t content_length) {
     fbb_.AddElement<uint64_t>(RelayedHead::VT_CONTENT_LENGTH, content_length, 0);
   }
+  void add_leaving(bool leaving) {
+    fbb_.AddElement<uint8_t>(RelayedHead::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
+  }
   explicit RelayedHeadBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2478,13 +2568,15 @@
     double rate_limit = 0.0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<jackdawpick::peers::fbs::Header>>> headers = 0,
     bool has_length = false,
-    uint64_t content_length = 0) {
+    uint64_t content_length = 0,
+    bool leaving = false) {
   RelayedHeadBuilder builder_(_fbb);
   builder_.add_content_length(content_length);
   builder_.add_rate_limit(rate_limit);
   builder_.add_id(id);
   builder_.add_headers(headers);
   builder_.add_status(status);
+  builder_.add_leaving(leaving);
   builder_.add_has_length(has_length);
   builder_.add_states_limit(states_limit);
   builder_.add_not_executed(not_executed);
@@ -2502,7 +2594,8 @@
     double rate_limit = 0.0,
     const std::vector<flatbuffers::Offset<jackdawpick::peers::fbs::Header>> *headers = nullptr,
     bool has_length = false,
-    uint64_t content_length = 0) {
+    uint64_t content_length = 0,
+    bool leaving = false) {
   auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<jackdawpick::peers::fbs::Header>>(*headers) : 0;
   return jackdawpick::peers::fbs::CreateRelayedHead(
       _fbb,
@@ -2514,7 +2607,8 @@
       rate_limit,
       headers__,
       has_length,
-      content_length);
+      content_length,
+      leaving);
 }
 
 struct RelayedChunk FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/peers/peers.cc
+++ b/src/peers/peers.cc
@@ -41,8 +41,12 @@
         return fbs::CreateLimit(out, out.CreateString(report.endpoint), report.rate.has_value(),
                                 report.rate.value_or(0), static_cast<std::uint32_t>(report.age.count()));
     });
+    std::vector<flatbuffers::Offset<fbs::Leaving>> leaving;
+    std::ranges::transform(value.leaving, std::back_inserter(leaving), [&out](const auto &endpoint) {
+        return fbs::CreateLeaving(out, out.CreateString(endpoint.id), endpoint.born);
+    });
     return fbs::CreateBeat(out, value.ready, value.storeReachable, value.configuration, out.CreateVector(loads),
-                           out.CreateVector(limits), value.endpointsUnreachable)
+                           out.CreateVector(limits), value.endpointsUnreachable, out.CreateVector(leaving))
         .Union();
 }
 
@@ -255,7 +259,7 @@
     return fbs::CreateRelayedHead(out, value.id, head.status, head.hasEndpointSignature, head.notExecuted,
                                   head.rateLimit.has_value(), head.rateLimit.value_or(0),
                                   encodeHeaders(out, head.headers), head.contentLength.has_value(),
-                                  head.contentLength.value_or(0))
+                                  head.contentLength.value_or(0), head.leaving)
         .Union();
 }
 
@@ -315,6 +319,11 @@
                                         .age = std::chrono::milliseconds(limit->age_ms())};
         });
     }
+    if (body.leaving() != nullptr) {
+        std::ranges::transform(*body.leaving(), std::back_inserter(value.leaving), [](const auto *endpoint) {
+            return endpoint_calls::endpoint_incarnation{endpoint->endpoint()->str(), endpoint->born()};
+        });
+    }
     return value;
 }
 
@@ -463,6 +472,7 @@
             .head = {.status = body.status(),
                      .hasEndpointSignature = body.has_signature(),
                      .notExecuted = body.not_executed(),
+                     .leaving = body.leaving(),
                      .rateLimit = body.states_limit() ? std::optional(body.rate_limit()) : std::nullopt,
                      .headers = decodeHeaders(*body.headers()),
                      .contentLength = body.has_length() ? std::optional(body.content_length()) : std::nullopt}};
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -44,6 +44,8 @@
     std::uint64_t configuration = 0; // Version of the active configuration; 0: none.
     fleet::endpoint_loads loads;
     std::vector<limits::limit_report> limits; // Stated by endpoints in responses to the sender.
+    // Endpoints that stated in responses to the sender that they are leaving.
+    std::vector<endpoint_calls::endpoint_incarnation> leaving;
     bool operator==(const heartbeat &) const = default;
 };
 
