Send nothing to endpoints that have stated that they leave

The statement now excludes that start of the endpoint from placement, whatever its entry says: an entry that expired in an outage and is listed again cleared the mark before. A granted permit and a relaying peer ask once more before they send; the peer says why it refuses. The flag of a 421, which means that another endpoint has the address, is now named so and kept apart.

--- a/src/fleet/endpoint_pool.cc
+++ b/src/fleet/endpoint_pool.cc
@@ -29,7 +29,7 @@
         value.backoffUntil = {};
     }
     if (hasRestarted || value.removedAt.has_value()) {
-        value.leaving = false;
+        value.misdirected = false;
     }
     value.entry = entry;
     value.removedAt.reset();
@@ -54,13 +54,18 @@
     }
 }
 
-void endpoint_pool::markLeaving(const std::string &id)
+void endpoint_pool::markMisdirected(const std::string &id)
 {
     if (const auto found = m_endpoints.find(id); found != m_endpoints.end()) {
-        found->second.leaving = true;
+        found->second.misdirected = true;
     }
 }
 
+bool endpoint_pool::isLeaving(const endpoint_incarnation &target) const
+{
+    return m_leaving.contains(target);
+}
+
 bool endpoint_pool::onLeavingStated(const endpoint_incarnation &stated, time_point now)
 {
     return m_leaving.onStated(stated, now);
@@ -244,6 +249,12 @@
     return m_endpoints.size();
 }
 
+bool endpoint_pool::takesRequests(const endpoint_incarnation &target, time_point now) const
+{
+    const auto found = m_endpoints.find(target.id);
+    return found != m_endpoints.end() && found->second.entry.born == target.born && isUsable(found->second, now);
+}
+
 std::optional<std::uint64_t> endpoint_pool::bornOf(const std::string &id) const
 {
     const auto found = m_endpoints.find(id);
@@ -252,7 +263,8 @@
 
 bool endpoint_pool::isUsable(const endpoint &value, time_point now) const
 {
-    return !value.entry.draining && !value.leaving && (!value.removedAt.has_value() || *value.removedAt > now);
+    return !value.entry.draining && !value.misdirected && !isLeaving({value.entry.id, value.entry.born})
+        && (!value.removedAt.has_value() || *value.removedAt > now);
 }
 
 std::uint32_t endpoint_pool::totalInFlight(const endpoint &value, time_point now) const
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -132,14 +132,16 @@
     void remove(const std::string &id, bool mayHaveExpired, time_point now);
     // Removes all endpoints that are not in `listed`.
     void keepOnly(const std::set<std::string> &listed, bool mayHaveExpired, time_point now);
-    // Excludes an endpoint from selection after a response said that it is leaving or that another endpoint has its
-    // address, until an entry shows that it has started again or moved.
-    void markLeaving(const std::string &id);
+    // Excludes an endpoint from selection after a response said that another endpoint has its address, until an entry
+    // shows that it has started again or moved.
+    void markMisdirected(const std::string &id);
 
     // The endpoint stated in a response to this daemon, or to a peer, that it is leaving: it is not selected any more.
     // Return whether that was not known.
     bool onLeavingStated(const endpoint_incarnation &stated, time_point now);
     bool onLeavingReported(const endpoint_incarnation &reported, time_point now);
+    // Whether a response, to this daemon or a peer, stated so.
+    [[nodiscard]] bool isLeaving(const endpoint_incarnation &target) const;
     // The statements in responses to this daemon.
     [[nodiscard]] std::vector<endpoint_incarnation> leavingStatements() const;
     void evictExpiredStatements(time_point now);
@@ -177,6 +179,8 @@
     // Returns 0 if the service has no usable endpoint.
     [[nodiscard]] double utilisation(const std::string &service, time_point now) const;
     [[nodiscard]] std::size_t size() const;
+    // Whether this start of the endpoint may get requests, as far as this daemon knows.
+    [[nodiscard]] bool takesRequests(const endpoint_incarnation &target, time_point now) const;
     // When the endpoint started, as in endpoint_entry; nothing if it is not known.
     [[nodiscard]] std::optional<std::uint64_t> bornOf(const std::string &id) const;
 
@@ -184,7 +188,7 @@
     struct endpoint
     {
         endpoint_entry entry;
-        bool leaving = false;
+        bool misdirected = false; // Another endpoint has the address.
         std::optional<time_point> removedAt; // When the removal takes effect; may lie in the future.
         std::uint32_t inFlight = 0; // From this daemon.
         std::uint32_t peakInFlight = 0; // Maximum in flight since peakAt, an estimate of the open connections.
--- a/src/fleet/fleet_test.cc
+++ b/src/fleet/fleet_test.cc
@@ -48,7 +48,7 @@
 {
     pool.upsert({.id = "a", .service = "llm", .address = "1:1", .slots = 2, .draining = true}, clock.now());
     EXPECT_EQ(chosen(model), "b");
-    pool.markLeaving("b");
+    pool.markMisdirected("b");
     EXPECT_EQ(chosen(model), "");
     pool.upsert({.id = "d", .service = "llm", .address = "1:4", .slots = 2}, clock.now());
     EXPECT_EQ(chosen(model), "d");
@@ -84,14 +84,47 @@
     clock.advance(250ms);
     EXPECT_EQ(chosen(model), "b");
     pool.setRateLimit("a", std::nullopt);
-    pool.markLeaving("b");
+    pool.markMisdirected("b");
     EXPECT_EQ(chosen(model), "a");
 }
 
+// Guards against requests to an endpoint that has stated that it leaves, whatever its entry in the store says later.
+TEST_F(fleet_test, StatementsOfLeavingHoldForOneStart)
+{
+    const fleet::endpoint_entry entry{
+        .id = "a", .service = "llm", .address = "1:1", .zone = "z1", .slots = 2, .born = 5};
+    pool.upsert(entry, clock.now());
+    pool.remove("b", false, clock.now());
+    EXPECT_TRUE(pool.onLeavingReported({"a", 5}, clock.now()));
+    EXPECT_FALSE(pool.onLeavingStated({"a", 5}, clock.now()));
+    EXPECT_EQ(chosen(model), "");
+    EXPECT_FALSE(pool.takesRequests({"a", 5}, clock.now()));
+    pool.remove("a", false, clock.now());
+    pool.upsert(entry, clock.now());
+    EXPECT_EQ(chosen(model), "");
+    auto restarted = entry;
+    restarted.born = 6;
+    pool.upsert(restarted, clock.now());
+    EXPECT_EQ(chosen(model), "a");
+    EXPECT_TRUE(pool.isLeaving({"a", 5}));
+}
+
+// Guards against statements that stay in memory for ever, and against an endpoint that is used again while it is
+// listed.
+TEST_F(fleet_test, StatementsOfEndpointsThatAreGoneAreForgotten)
+{
+    pool.onLeavingStated({"a", 0}, clock.now());
+    pool.onLeavingStated({"gone", 3}, clock.now());
+    EXPECT_EQ(pool.leavingStatements().size(), 2U);
+    clock.advance(leaving_table::statementLifetime);
+    pool.evictExpiredStatements(clock.now());
+    EXPECT_EQ(pool.leavingStatements(), (std::vector<endpoint_incarnation>{{"a", 0}}));
+}
+
 // Guards against probes that all go to one endpoint, or to one that is leaving.
 TEST_F(fleet_test, SampledAddressesAreDistinctAndUsable)
 {
-    pool.markLeaving("b");
+    pool.markMisdirected("b");
     for (const double fraction : {0.0, 0.3, 0.99}) {
         const auto sample = pool.sampleAddresses(3, fraction, clock.now());
         EXPECT_EQ(std::set(sample.begin(), sample.end()), (std::set<std::string>{"1:1", "1:3"}));
@@ -104,15 +137,15 @@
 TEST_F(fleet_test, EndpointThatStartsAgainIsUsedAgain)
 {
     pool.remove("b", false, clock.now());
-    pool.markLeaving("a");
+    pool.markMisdirected("a");
     pool.upsert({.id = "a", .service = "llm", .address = "1:1", .zone = "z1", .slots = 2}, clock.now());
     EXPECT_EQ(chosen(model), ""); // The same entry, written again.
     pool.upsert({.id = "a", .service = "llm", .address = "1:9", .zone = "z1", .slots = 2}, clock.now());
     EXPECT_EQ(chosen(model), "a");
-    pool.markLeaving("a");
+    pool.markMisdirected("a");
     pool.upsert({.id = "a", .service = "llm", .address = "1:9", .zone = "z1", .slots = 2, .born = 7}, clock.now());
     EXPECT_EQ(chosen(model), "a");
-    pool.markLeaving("a");
+    pool.markMisdirected("a");
     pool.remove("a", false, clock.now());
     pool.upsert({.id = "a", .service = "llm", .address = "1:9", .zone = "z1", .slots = 2, .born = 7}, clock.now());
     EXPECT_EQ(chosen(model), "a");
@@ -260,7 +293,7 @@
     EXPECT_EQ(one.utilisation("none", clock.now()), 0);
     one.setPeerLoads("peer", {{"e0", 2 * slots}, {"e1", slots}}, clock.now());
     EXPECT_DOUBLE_EQ(one.utilisation("llm", clock.now()), 3.0 / engines);
-    one.markLeaving("e0");
+    one.markMisdirected("e0");
     EXPECT_DOUBLE_EQ(one.utilisation("llm", clock.now()), 1.0 / (engines - 1));
 }
 
--- a/src/gateway/dispatching.cc
+++ b/src/gateway/dispatching.cc
@@ -202,7 +202,7 @@
                                          time_point now)
 {
     if (head.status == misdirectedRequest) {
-        m_pool.markLeaving(context.endpoint); // Another endpoint uses this address now.
+        m_pool.markMisdirected(context.endpoint);
     }
     context.excludedEndpoints.insert(context.endpoint);
     m_effects.emplace_back(increment_counter{metric::EndpointFailures, context.service, "rejected"});
--- a/src/gateway/endpoint_leaving_test.cc
+++ b/src/gateway/endpoint_leaving_test.cc
@@ -111,11 +111,12 @@
         world.blockedLinks.insert({other, 0});
     }
     world.leavingEndpoints.insert("shop-0");
+    const auto left = world.now();
     for (int i = 0; i < 200; ++i) {
         world.send(0, shopRequest("/pay/x", fmt::format("b{}", i)));
         world.runFor(20ms);
     }
-    EXPECT_EQ(runsAt("shop-0", time_point() + 3s + drainTimeout), 0);
+    EXPECT_EQ(runsAt("shop-0", left + 500ms + drainTimeout), 0);
 }
 
 // Guards against a daemon that forgets the statement when the entry expires in an outage and is listed again.
--- a/src/gateway/endpoint_limits.cc
+++ b/src/gateway/endpoint_limits.cc
@@ -153,6 +153,8 @@
     }
     if (!decision.granted) {
         onPermitDenied(context, chosen->id, decision.retryAfter, now);
+    } else if (!m_pool.takesRequests({chosen->id, chosen->born}, now)) {
+        dispatch(context, now); // It has begun to leave since the permit was asked for.
     } else if (!refuseIfBlocked(context, now)) {
         sendToEndpoint(context, *chosen, now);
     }
--- a/src/gateway/relaying.cc
+++ b/src/gateway/relaying.cc
@@ -173,10 +173,14 @@
     }
     if (message.accepted) {
         on(dispatch_finished{dispatch_id{message.id}, message.outcome}, now);
+        return;
+    }
+    if (message.endpointLeaving) {
+        applyLeavingReports(m_peers.nameOf(link), {{context->endpoint, context->endpointBorn}}, now);
     } else {
         context->refusingPeers.insert(m_peers.nameOf(link));
-        onDispatchFailed(*context, dispatch_outcome::NotSent, failure_site::Path, now);
     }
+    onDispatchFailed(*context, dispatch_outcome::NotSent, failure_site::Path, now);
 }
 
 // The link to a peer is lost; whether its endpoints have run the requests that it relays is not known.
@@ -200,17 +204,21 @@
 void gateway::implementation::on(link_id link, const peers::relayed_request &message, time_point now)
 {
     const bool blocked = m_crashes.isBlocked(message.request.content, now);
-    const bool accepted = m_relayed.size() < maxRelayedRequests && !m_paths.isCutOff() && !m_stopped && !blocked;
+    const bool leaving = m_pool.isLeaving({message.request.endpoint, message.request.endpointBorn});
+    const bool canRelay = m_relayed.size() < maxRelayedRequests && !m_paths.isCutOff() && !m_stopped;
+    const bool accepted = canRelay && !blocked && !leaving;
     log(log_level::Info, accepted ? "request_relayed" : "relay_refused",
         {{"request", message.request.attempt},
          {"endpoint", message.request.endpoint},
          {"peer", m_peers.nameOf(link)},
          {"relayed", m_relayed.size()},
          {"blocked", blocked},
+         {"leaving", leaving},
          {"endpoints_reachable", !m_paths.isCutOff()}});
     if (!accepted) {
         m_effects.emplace_back(increment_counter{metric::RelayedRequests, "refused", {}});
-        m_effects.emplace_back(send_message{link, peers::relayed_end{message.id, dispatch_outcome::NotSent, false}});
+        m_effects.emplace_back(
+            send_message{link, peers::relayed_end{message.id, dispatch_outcome::NotSent, false, leaving}});
         return;
     }
     const dispatch_id dispatch{++m_lastDispatch};
--- a/src/peers/internal/peer_messages_generated.h
+++ b/src/peers/internal/peer_messages_generated.h
@@ -2680,7 +2680,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ID = 4,
     VT_OUTCOME = 6,
-    VT_ACCEPTED = 8
+    VT_ACCEPTED = 8,
+    VT_ENDPOINT_LEAVING = 10
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -2691,11 +2692,15 @@
   bool accepted() const {
     return GetField<uint8_t>(VT_ACCEPTED, 0) != 0;
   }
+  bool endpoint_leaving() const {
+    return GetField<uint8_t>(VT_ENDPOINT_LEAVING, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
            VerifyField<uint8_t>(verifier, VT_OUTCOME, 1) &&
            VerifyField<uint8_t>(verifier, VT_ACCEPTED, 1) &&
+           VerifyField<uint8_t>(verifier, VT_ENDPOINT_LEAVING, 1) &&
            verifier.EndTable();
   }
 };
@@ -2713,6 +2718,9 @@
   void add_accepted(bool accepted) {
     fbb_.AddElement<uint8_t>(RelayedEnd::VT_ACCEPTED, static_cast<uint8_t>(accepted), 0);
   }
+  void add_endpoint_leaving(bool endpoint_leaving) {
+    fbb_.AddElement<uint8_t>(RelayedEnd::VT_ENDPOINT_LEAVING, static_cast<uint8_t>(endpoint_leaving), 0);
+  }
   explicit RelayedEndBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2728,9 +2736,11 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t id = 0,
     uint8_t outcome = 0,
-    bool accepted = false) {
+    bool accepted = false,
+    bool endpoint_leaving = false) {
   RelayedEndBuilder builder_(_fbb);
   builder_.add_id(id);
+  builder_.add_endpoint_leaving(endpoint_leaving);
   builder_.add_accepted(accepted);
   builder_.add_outcome(outcome);
   return builder_.Finish();
--- a/src/peers/peers.cc
+++ b/src/peers/peers.cc
@@ -270,7 +270,9 @@
 
 body_offset encode(buffer_builder &out, const relayed_end &value)
 {
-    return fbs::CreateRelayedEnd(out, value.id, static_cast<std::uint8_t>(value.outcome), value.accepted).Union();
+    return fbs::CreateRelayedEnd(out, value.id, static_cast<std::uint8_t>(value.outcome), value.accepted,
+                                 value.endpointLeaving)
+        .Union();
 }
 
 body_offset encode(buffer_builder &out, const relayed_cancel &value)
@@ -484,7 +486,8 @@
     if (body.outcome() > static_cast<std::uint8_t>(dispatch_outcome::TimedOut)) {
         return std::nullopt;
     }
-    return relayed_end{body.id(), static_cast<dispatch_outcome>(body.outcome()), body.accepted()};
+    return relayed_end{body.id(), static_cast<dispatch_outcome>(body.outcome()), body.accepted(),
+                       body.endpoint_leaving()};
 }
 
 std::optional<message> decodeRelayed(const fbs::Message &root)
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -179,6 +179,7 @@
     std::uint64_t id = 0;
     endpoint_calls::dispatch_outcome outcome = endpoint_calls::dispatch_outcome::Complete;
     bool accepted = true; // Unset if the receiver did not try to send the request; the outcome is NotSent then.
+    bool endpointLeaving = false; // Why it was not accepted: the endpoint has stated that it is leaving.
     bool operator==(const relayed_end &) const = default;
 };
 
--- a/src/peers/peers_test.cc
+++ b/src/peers/peers_test.cc
@@ -58,7 +58,7 @@
             relayed_head{12, {503, false, true, false, std::nullopt, {}, std::nullopt}},
             relayed_chunk{11, binary},
             relayed_end{11, endpoint_calls::dispatch_outcome::Lost, true},
-            relayed_end{12, endpoint_calls::dispatch_outcome::NotSent, false},
+            relayed_end{12, endpoint_calls::dispatch_outcome::NotSent, false, true},
             relayed_cancel{13}};
 }
 
