Try a blocked request again after a minute, and ever later if it crashes its endpoint again

The failures now stay known for 10 minutes, and the block lasts a minute, doubled with each further failure, so that one endpoint is risked after a minute and a success clears the request (crashes_test.EachFurtherFailureDoublesTheBlock).

--- a/src/crashes/crashes.cc
+++ b/src/crashes/crashes.cc
@@ -8,14 +8,24 @@
 namespace jackdawpick::crashes
 {
 
-bool crash_tracker::isBlocked(const request_failures &value)
+bool crash_tracker::isSuspect(const request_failures &value)
 {
     return value.failed.size() >= endpointsUntilBlocked;
 }
 
+bool crash_tracker::isBlocked(const request_failures &value, time_point now)
+{
+    if (!isSuspect(value)) {
+        return false;
+    }
+    constexpr std::size_t maxDoublings = 4; // Enough for the longest time.
+    const auto doublings = std::min(value.failed.size() - endpointsUntilBlocked, maxDoublings);
+    return now - value.latest < std::min(retention * (1U << doublings), blockedRetention);
+}
+
 bool crash_tracker::isExpired(const request_failures &value, time_point now)
 {
-    return now - value.latest >= (isBlocked(value) ? blockedRetention : retention);
+    return now - value.latest >= (isSuspect(value) ? blockedRetention : retention);
 }
 
 void crash_tracker::noteChange(std::uint64_t request, const request_failures &value)
@@ -63,7 +73,7 @@
 {
     const auto least = std::ranges::min_element(m_requests, std::less<>(), [](const auto &item) {
         const auto &value = item.second;
-        return std::tuple(isBlocked(value), value.failed.size(), value.latest);
+        return std::tuple(isSuspect(value), value.failed.size(), value.latest);
     });
     m_unstored.erase(least->first);
     m_requests.erase(least);
@@ -130,13 +140,13 @@
 bool crash_tracker::isBlocked(std::uint64_t request, time_point now) const
 {
     const auto found = m_requests.find(request);
-    return found != m_requests.end() && isBlocked(found->second) && !isExpired(found->second, now);
+    return found != m_requests.end() && isBlocked(found->second, now);
 }
 
 std::size_t crash_tracker::blockedCount(time_point now) const
 {
-    return static_cast<std::size_t>(std::ranges::count_if(
-        m_requests, [now](const auto &item) { return isBlocked(item.second) && !isExpired(item.second, now); }));
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_requests, [now](const auto &item) { return isBlocked(item.second, now); }));
 }
 
 std::vector<run_report> crash_tracker::takeReports()
@@ -153,7 +163,7 @@
             continue;
         }
         auto &value = found->second;
-        const bool blocked = isBlocked(value);
+        const bool blocked = isSuspect(value);
         if (std::exchange(value.reportedBlocked, blocked) != blocked) {
             changes.push_back({.request = request, .blocked = blocked, .failures = value.failed.size()});
         }
--- a/src/crashes/crashes.h
+++ b/src/crashes/crashes.h
@@ -53,7 +53,9 @@
     static constexpr std::size_t endpointsUntilBlocked = 3;
     // Failures from which on a request is written to the store. A single one is mostly the endpoint's own fault.
     static constexpr std::size_t endpointsUntilStored = 2;
-    // How long the failures of a request count; measured from the latest one.
+    // How long the failures of a request count, and how long it is blocked after the third one; measured from the
+    // latest failure. Each further failure doubles the time, so that a sound request which was blocked in an outage of
+    // all its endpoints is soon tried again, and a crashing one ever less often.
     static constexpr std::chrono::seconds retention{60};
     static constexpr std::chrono::seconds blockedRetention{600};
     // How long after a request has ended without a response the loss of its endpoint is put down to it. Endpoints that
@@ -120,7 +122,8 @@
     bool recordCompletion(std::uint64_t request, time_point at);
     void noteChange(std::uint64_t request, const request_failures &value);
     void evictLeastTelling();
-    [[nodiscard]] static bool isBlocked(const request_failures &value);
+    [[nodiscard]] static bool isSuspect(const request_failures &value);
+    [[nodiscard]] static bool isBlocked(const request_failures &value, time_point now);
     [[nodiscard]] static bool isExpired(const request_failures &value, time_point now);
     static void appendReports(std::uint64_t request, const request_failures &value, time_point now,
                               std::vector<run_report> &out);
--- a/src/crashes/crashes_test.cc
+++ b/src/crashes/crashes_test.cc
@@ -39,11 +39,10 @@
     EXPECT_FALSE(local.isBlocked(8, clock.now()));
     failEndpoints(local, 8, 2);
     clock.advance(crash_tracker::retention);
-    EXPECT_TRUE(local.isBlocked(7, clock.now()));
+    EXPECT_FALSE(local.isBlocked(7, clock.now()));
     local.evictExpired(clock.now());
     EXPECT_EQ(local.size(), 1U);
     clock.advance(crash_tracker::blockedRetention);
-    EXPECT_FALSE(local.isBlocked(7, clock.now()));
     local.evictExpired(clock.now());
     EXPECT_EQ(local.size(), 0U);
 }
@@ -76,6 +75,23 @@
     EXPECT_FALSE(remote.isBlocked(7, clock.now()));
 }
 
+// Guards against a request that crashes three more endpoints each time that its block ends, and against one that stays
+// blocked for long after an outage of all its endpoints.
+TEST_F(crashes_test, EachFurtherFailureDoublesTheBlock)
+{
+    failEndpoints(local, 7, 3);
+    clock.advance(crash_tracker::retention);
+    EXPECT_FALSE(local.isBlocked(7, clock.now()));
+    failEndpoints(local, 7, 1, 3);
+    clock.advance(crash_tracker::retention);
+    EXPECT_TRUE(local.isBlocked(7, clock.now()));
+    clock.advance(crash_tracker::retention);
+    EXPECT_FALSE(local.isBlocked(7, clock.now()));
+    failEndpoints(local, 7, 20, 4);
+    clock.advance(crash_tracker::blockedRetention - 1s);
+    EXPECT_TRUE(local.isBlocked(7, clock.now()));
+}
+
 // Guards against an endpoint that counts once although it has started and crashed again under its id.
 TEST_F(crashes_test, EachStartOfAnEndpointCounts)
 {
