--- a/src/fleet/endpoint_pool.cc
+++ b/src/fleet/endpoint_pool.cc
@@ -263,8 +263,9 @@
 
 bool endpoint_pool::isUsable(const endpoint &value, time_point now) const
 {
-    return !value.entry.draining && !value.misdirected && !isLeaving({value.entry.id, value.entry.born})
-        && (!value.removedAt.has_value() || *value.removedAt > now);
+    const auto &entry = value.entry;
+    const bool isListed = !value.removedAt.has_value() || *value.removedAt > now;
+    return isListed && !entry.draining && !value.misdirected && !isLeaving({entry.id, entry.born});
 }
 
 std::uint32_t endpoint_pool::totalInFlight(const endpoint &value, time_point now) const
--- a/src/gateway/budgets.cc
+++ b/src/gateway/budgets.cc
@@ -39,6 +39,11 @@
     return response.usage.spent + response.usage.reserved <= response.request.tokens;
 }
 
+std::uint64_t rendezvousWeight(const std::string &daemon, std::uint64_t seed)
+{
+    return XXH3_64bits_withSeed(daemon.data(), daemon.size(), seed);
+}
+
 } // namespace
 
 bool gateway::implementation::hasBudget(const request_context &context)
@@ -57,7 +62,7 @@
     std::vector<std::pair<std::uint64_t, std::string>> weighted;
     weighted.reserve(daemons.size());
     std::ranges::transform(daemons, std::back_inserter(weighted), [seed](std::string &name) {
-        const auto weight = XXH3_64bits_withSeed(name.data(), name.size(), seed);
+        const auto weight = rendezvousWeight(name, seed);
         return std::pair(weight, std::move(name));
     });
     std::ranges::sort(weighted, std::greater<>());
@@ -69,16 +74,31 @@
     return rankedDaemons(rendezvousKeyOf(where), now);
 }
 
-std::vector<std::string> gateway::implementation::rankedDaemons(const std::string &key, time_point now) const
+std::vector<std::string> gateway::implementation::rankableDaemons(time_point now) const
 {
     auto names = m_peers.readyPeers(now);
     if (!m_shutdownBegan.has_value() || names.empty()) {
         names.push_back(m_options.self.name);
     }
+    return names;
+}
+
+std::vector<std::string> gateway::implementation::rankedDaemons(const std::string &key, time_point now) const
+{
+    auto names = rankableDaemons(now);
     sortByRendezvousWeight(names, key);
     return names;
 }
 
+std::string gateway::implementation::firstDaemon(const std::string &key, time_point now) const
+{
+    auto names = rankableDaemons(now);
+    const auto seed = XXH3_64bits(key.data(), key.size());
+    return std::move(*std::ranges::max_element(names, std::less<>(), [seed](const std::string &name) {
+        return std::pair(rendezvousWeight(name, seed), std::string_view(name));
+    }));
+}
+
 programs::budget_partition &gateway::implementation::budgetsOf(const store::partition &where)
 {
     return m_budgets.try_emplace(where, where).first->second;
--- a/src/gateway/crash_reports.cc
+++ b/src/gateway/crash_reports.cc
@@ -201,7 +201,7 @@
 void gateway::implementation::evictCrashes(time_point now)
 {
     for (const auto content : m_crashes.evictExpired(now)) {
-        if (rankedDaemons(crashRecordKey(content), now).front() == m_options.self.name) {
+        if (firstDaemon(crashRecordKey(content), now) == m_options.self.name) {
             writeCrashRecord(content, {}, now);
         }
     }
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -131,6 +131,9 @@
     [[nodiscard]] std::optional<time_point> nextBudgetDeadline() const;
     // The live daemons, this one included, by their rendezvous hashes for the key, the largest first.
     [[nodiscard]] std::vector<std::string> rankedDaemons(const std::string &key, time_point now) const;
+    // The first of these, without sorting the others.
+    [[nodiscard]] std::string firstDaemon(const std::string &key, time_point now) const;
+    [[nodiscard]] std::vector<std::string> rankableDaemons(time_point now) const;
     [[nodiscard]] static std::string rendezvousKeyOf(const store::partition &where);
     // Sorts daemons by their rendezvous hashes for the key, the largest first.
     static void sortByRendezvousWeight(std::vector<std::string> &daemons, const std::string &key);
--- a/src/gateway/internal/request_context.h
+++ b/src/gateway/internal/request_context.h
@@ -68,7 +68,7 @@
     std::optional<history_read> historyRead; // Set while the records of the chain are read.
 
     std::optional<fleet::placement> permitFor; // Set while the answer to the request for a permit is awaited.
-    unsigned permitsDenied = 0; // Since the request was last placed without one.
+    unsigned permitsDenied = 0; // Since the request last began to wait.
     std::optional<std::chrono::milliseconds> permitRetryAfter; // The shortest time told with a denial to a first turn.
     std::optional<time_point> waitingForPermitSince;
     std::optional<dispatch_id> dispatch;
--- a/src/gateway/platform_state.cc
+++ b/src/gateway/platform_state.cc
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
-#include <type_traits>
 
 namespace jackdawpick::gateway
 {
