--- a/src/endpoint_calls/endpoint_calls.h
+++ b/src/endpoint_calls/endpoint_calls.h
@@ -8,11 +8,11 @@
 // Value types; thread compatible.
 
 #include <chrono>
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -26,9 +26,14 @@
 {
     std::string id;
     std::uint64_t born = 0; // In milliseconds since the Unix epoch; 0 if unknown.
-    std::strong_ordering operator<=>(const endpoint_incarnation &) const = default;
+    bool operator==(const endpoint_incarnation &) const = default;
 };
 
+[[nodiscard]] inline bool operator<(const endpoint_incarnation &left, const endpoint_incarnation &right)
+{
+    return std::tie(left.id, left.born) < std::tie(right.id, right.born);
+}
+
 struct endpoint_request
 {
     std::string address; // "ip:port"
--- a/src/gateway/testing/world_endpoints.cc
+++ b/src/gateway/testing/world_endpoints.cc
@@ -144,13 +144,14 @@
         return;
     }
     for (const auto &place : m_activeDispatches) {
-        const auto [daemon, dispatch] = place;
         const auto found = m_dispatchEndpoints.find(place);
-        if (found != m_dispatchEndpoints.end() && found->second == id && pathOf(daemon) == path_behaviour::Open) {
-            const int incarnation = m_daemons.at(static_cast<std::size_t>(daemon)).incarnation;
-            schedule(0ms, [=, this] {
-                if (m_activeDispatches.contains({daemon, dispatch})) {
-                    deliver(daemon, incarnation, dispatch_finished{dispatch, dispatch_outcome::Lost});
+        const bool isAffected =
+            found != m_dispatchEndpoints.end() && found->second == id && pathOf(place.first) == path_behaviour::Open;
+        if (isAffected) {
+            const int incarnation = m_daemons.at(static_cast<std::size_t>(place.first)).incarnation;
+            schedule(0ms, [this, place, incarnation] {
+                if (m_activeDispatches.contains(place)) {
+                    deliver(place.first, incarnation, dispatch_finished{place.second, dispatch_outcome::Lost});
                 }
             });
         }
