Do not take failures read from the store for younger than the success that came after them

A sound request that had failed at two endpoints and then succeeded was refused after one more lost response: its failures came back from the store up to 2.5 s later with the age of the time of writing, so that they seemed younger than the success (IsNotBlockedByFailuresFromBeforeItsSuccess failed with a 503 before). Found by reading the diff.

A record that a watch reads is younger than the read before it, and no more is known. The time since then is added to the ages.

--- a/src/gateway/crash_reports.cc
+++ b/src/gateway/crash_reports.cc
@@ -172,7 +172,7 @@
     return m_crashes.unstored().empty() ? std::nullopt : std::optional(m_crashCheckAt);
 }
 
-bool gateway::implementation::applyCrashRecord(const store::record &record, time_point now)
+bool gateway::implementation::applyCrashRecord(const store::record &record, time_point writtenAfter, time_point now)
 {
     const auto content = contentOfKey(record.key);
     if (!content.has_value()) {
@@ -184,12 +184,16 @@
         m_crashes.onStored(*content, 0);
         return true;
     }
-    const auto message = peers::decodeMessage(record.value);
-    const auto *reports = message.has_value() ? std::get_if<peers::run_reports>(&*message) : nullptr;
+    auto message = peers::decodeMessage(record.value);
+    auto *reports = message.has_value() ? std::get_if<peers::run_reports>(&*message) : nullptr;
     if (reports == nullptr) {
         log(log_level::Warning, "crash_record_unreadable", {{"key", record.key}, {"offset", record.offset}});
         return true;
     }
+    // The ages are those of the time of writing. A failure must not seem younger than a success that came after it.
+    for (auto &report : reports->reports) {
+        report.age += millisecondsBetween(writtenAfter, now);
+    }
     applyRunReports(reports->reports, "store", now);
     m_crashes.onStored(*content,
                        static_cast<std::size_t>(std::ranges::count_if(
--- a/src/gateway/crashing_request_test.cc
+++ b/src/gateway/crashing_request_test.cc
@@ -299,4 +299,40 @@
 
 INSTANTIATE_TEST_SUITE_P(Daemons, crashing_requests, ::testing::Values(9, 80));
 
+namespace
+{
+
+void runOnlyAt(gateway_world &world, const std::string &endpoint, endpoint_behaviour behaviour)
+{
+    for (int i = 0; i < 3; ++i) {
+        world.endpointBehaviours[fmt::format("shop-{}", i)] = endpoint_behaviour::Rejects;
+    }
+    world.endpointBehaviours[endpoint] = behaviour;
+}
+
+} // namespace
+
+// Guards against failures from before a success that the store returns to daemons which have heard of the success.
+TEST(SoundRequest, IsNotBlockedByFailuresFromBeforeItsSuccess)
+{
+    gateway_world world({.daemons = 9, .shopEndpoints = 3});
+    world.warmUp();
+    auto request = shopRequest("/pay/x", "a");
+    request.body = "sound";
+    const auto send = [&](const std::string &endpoint, endpoint_behaviour behaviour) {
+        runOnlyAt(world, endpoint, behaviour);
+        request.attempt += "a";
+        const auto &response = world.send(0, request);
+        world.runFor(100ms);
+        return response.status;
+    };
+    send("shop-0", endpoint_behaviour::LosesResponse);
+    send("shop-1", endpoint_behaviour::LosesResponse);
+    ASSERT_GE(world.logLinesOf("crash_record_written"), 1);
+    EXPECT_EQ(send("shop-2", endpoint_behaviour::Responds), 200);
+    world.runFor(5s);
+    send("shop-2", endpoint_behaviour::LosesResponse);
+    EXPECT_EQ(send("shop-2", endpoint_behaviour::Responds), 200);
+}
+
 } // namespace jackdawpick::gateway::testing
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -293,8 +293,8 @@
     void writeCrashRecord(std::uint64_t content, std::string value, time_point now);
     void writeDueCrashRecords(time_point now);
     [[nodiscard]] std::optional<time_point> nextCrashWrite() const;
-    // Returns whether the record is one of a request that crashes endpoints.
-    bool applyCrashRecord(const store::record &record, time_point now);
+    // Returns whether the record, written later than the given time, is one of a request that crashes endpoints.
+    bool applyCrashRecord(const store::record &record, time_point writtenAfter, time_point now);
     void evictCrashes(time_point now);
 
     // platform_state.cc
--- a/src/gateway/internal/keyed_watch.cc
+++ b/src/gateway/internal/keyed_watch.cc
@@ -17,6 +17,7 @@
         return std::nullopt;
     }
     m_callPending = true;
+    m_calledAt = now;
     if (m_listing) {
         return store::newest_call{.where = m_options.where, .after = m_after};
     }
@@ -25,6 +26,19 @@
 }
 
 watch_update keyed_watch::onReply(const store::reply &result, time_point now)
+{
+    auto update = updateFrom(result, now);
+    const bool isRead = std::holds_alternative<store::records_read>(result);
+    if (isRead) {
+        update.writtenAfter = m_readSince;
+    }
+    if (isRead || update.allKeys.has_value()) {
+        m_readSince = m_calledAt;
+    }
+    return update;
+}
+
+watch_update keyed_watch::updateFrom(const store::reply &result, time_point now)
 {
     m_callPending = false;
     m_pollAt = now + m_options.pollInterval;
@@ -34,7 +48,7 @@
     }
     if (const auto *read = std::get_if<store::records_read>(&result)) {
         m_nextOffset = std::max(m_nextOffset, read->next);
-        return {.records = read->records, .allKeys = std::nullopt};
+        return {.records = read->records, .allKeys = std::nullopt, .writtenAfter = std::nullopt};
     }
     if (std::holds_alternative<store::expired>(result)) {
         m_listing = true;
@@ -47,7 +61,7 @@
 
 watch_update keyed_watch::onPage(const store::newest_page &page)
 {
-    watch_update update{.records = page.records, .allKeys = std::nullopt};
+    watch_update update{.records = page.records, .allKeys = std::nullopt, .writtenAfter = std::nullopt};
     std::ranges::transform(page.records, std::inserter(m_listedKeys, m_listedKeys.end()), &store::record::key);
     // The pages of a listing are not one snapshot, so changes are read from the end offset that the first page
     // reported.
--- a/src/gateway/internal/keyed_watch.h
+++ b/src/gateway/internal/keyed_watch.h
@@ -27,6 +27,8 @@
     std::vector<store::record> records; // A record with an empty value deletes its key.
     // All keys of the partition; set only by the reply that completes a listing.
     std::optional<std::set<std::string>> allKeys;
+    // The records were written later than this; unset in a listing, which also has old ones.
+    std::optional<time_point> writtenAfter;
 };
 
 class keyed_watch
@@ -45,12 +47,15 @@
     [[nodiscard]] bool synchronised() const;
 
 private:
+    watch_update updateFrom(const store::reply &result, time_point now);
     watch_update onPage(const store::newest_page &page);
 
     watch_options m_options;
     bool m_listing = true;
     bool m_synchronised = false;
     bool m_callPending = false;
+    time_point m_calledAt{};
+    std::optional<time_point> m_readSince; // When the latest call with a complete answer was made.
     std::string m_after; // Last key of the previous page.
     std::set<std::string> m_listedKeys;
     std::optional<std::uint64_t> m_listEnd; // End offset of the partition when the listing began.
--- a/src/gateway/platform_state.cc
+++ b/src/gateway/platform_state.cc
@@ -386,7 +386,7 @@
 void gateway::implementation::applyDaemons(const internal::watch_update &update, time_point now)
 {
     for (const auto &record : update.records) {
-        if (applyCrashRecord(record, now)) {
+        if (applyCrashRecord(record, update.writtenAfter.value_or(now), now)) {
             continue;
         }
         if (record.value.empty()) {
