Do not count connections that a relaying daemon loses with its own paths as crashes

The peer that relays counted each lost connection, also those that it lost because its own paths to the endpoints were gone; for requests of its own callers that is an unknown outcome.

--- a/src/gateway/relaying.cc
+++ b/src/gateway/relaying.cc
@@ -266,9 +266,9 @@
     const auto &[link, request, endpoint, content, bytes] = found->second;
     if (received.outcome == dispatch_outcome::NotSent) {
         m_paths.onConnectFailed(endpoint.id, now);
-    } else if (received.outcome == dispatch_outcome::Lost) {
+    } else if (received.outcome == dispatch_outcome::Lost && !m_paths.isCutOff()) {
         m_crashes.onEndpointFailed(content, endpoint, now);
-    } else if (received.outcome == dispatch_outcome::TimedOut) {
+    } else if (received.outcome != dispatch_outcome::Complete) {
         m_crashes.onOutcomeUnknown(content, endpoint, now);
     }
     m_lastRequestFinishedAt = now;
