Count only lost connections as crashes

An exchange that ends complete without a response to its request, as after a late response to another one, was counted since the unknown outcomes have a branch of their own. Found by reading the diff; it is a failure of the endpoint, as before.

--- a/src/gateway/crash_reports.cc
+++ b/src/gateway/crash_reports.cc
@@ -58,7 +58,7 @@
         }
     } else if (where == failure_site::Path || outcome == dispatch_outcome::TimedOut || !hasPath) {
         noteOutcomeUnknown(context, now);
-    } else if (where == failure_site::Endpoint
+    } else if (where == failure_site::Endpoint && outcome == dispatch_outcome::Lost
                && m_crashes.onEndpointFailed(context.contentHash, {context.endpoint, context.endpointBorn}, now)) {
         logRequest(log_level::Warning, "endpoint_broke", context,
                    {{"endpoint", context.endpoint}, {"content", context.contentHash}}, now);
