--- a/src/peers/decode_message.cc
+++ b/src/peers/decode_message.cc
@@ -144,8 +144,17 @@
                         body.first_turn(), body.previous_unsettled()};
 }
 
-turn_reply decode(const fbs::TurnReply &body)
+// The verifier checks that the elements of a vector of structs lie in the buffer, not that they are aligned.
+template<typename T> bool isAligned(const flatbuffers::Vector<const T *> &elements)
 {
+    return reinterpret_cast<std::uintptr_t>(elements.Data()) % alignof(T) == 0;
+}
+
+std::optional<message> decode(const fbs::TurnReply &body)
+{
+    if (body.records() != nullptr && !isAligned(*body.records())) {
+        return std::nullopt;
+    }
     turn_reply value{
         .id = body.id(), .found = body.found(), .history = decode(body.history()), .tokens = body.tokens()};
     if (body.records() != nullptr) {
