--- a/src/crashes/crashes.h
+++ b/src/crashes/crashes.h
@@ -5,8 +5,7 @@
 //
 //   crash_tracker crashes;
 //   crashes.onEndpointFailed(request, {"endpoint-1", born}, now); // the connection was lost while the request ran
-//   if (crashes.isBlocked(request, now)) { ... }                  // several endpoints failed, none completed the
-//   request
+//   if (crashes.isBlocked(request, now)) { ... }                  // several failed and none completed the request
 //
 // A request is identified by a hash of its content that is the same for all of its retries. No I/O; thread-compatible.
 
