--- a/src/endpoint_calls/endpoint_calls.h
+++ b/src/endpoint_calls/endpoint_calls.h
@@ -64,6 +64,8 @@
     std::optional<double> rateLimit; // Requests per second that the endpoint takes from all daemons together.
     header_list headers; // Forwarded to the caller.
     std::optional<std::uint64_t> contentLength;
+    // The body has neither a length nor chunks. The end of its connection ends it, which does not prove it complete.
+    bool endsWithConnection = false;
     bool operator==(const endpoint_head &) const = default;
 };
 
--- a/src/gateway/dispatching.cc
+++ b/src/gateway/dispatching.cc
@@ -219,6 +219,7 @@
 void gateway::implementation::startForwarding(request_context &context, endpoint_calls::endpoint_head &head)
 {
     context.status = head.status;
+    context.endsWithConnection = head.endsWithConnection;
     const bool canBuffer = context.route->kind == routing::request_kind::Idempotent && head.contentLength.has_value()
         && *head.contentLength <= maxBufferedResponseBytes;
     if (canBuffer) {
--- a/src/gateway/internal/request_context.h
+++ b/src/gateway/internal/request_context.h
@@ -88,6 +88,7 @@
     bool responseStarted = false; // The head has been sent to the caller.
     std::uint16_t status = 0;
     std::optional<result_code> refusal;
+    bool endsWithConnection = false; // As in endpoint_head.
     bool eventStream = false;
     event_splitter eventSplitter;
     std::uint32_t eventCount = 0;
--- a/src/gateway/requests.cc
+++ b/src/gateway/requests.cc
@@ -155,6 +155,10 @@
     }
     if (context.eventStream) {
         fields.emplace_back("events", context.eventCount);
+        fields.emplace_back("incomplete_event_bytes", context.eventSplitter.incompleteEvent().size());
+    }
+    if (context.endsWithConnection) {
+        fields.emplace_back("ends_with_connection", true);
     }
     logRequest(log_level::Info, "request_finished", context, std::move(fields), now);
     m_effects.emplace_back(increment_counter{metric::Requests, context.route->name, std::string(outcome)});
--- a/src/net/internal/http_client.cc
+++ b/src/net/internal/http_client.cc
@@ -168,6 +168,7 @@
         if (const auto length = m_parser->content_length(); length) {
             head.contentLength = *length;
         }
+        head.endsWithConnection = m_parser->need_eof();
         if (m_handlers.onHead(head) == head_verdict::Skip) {
             return skipResponse();
         }
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -80,6 +80,7 @@
     std::uint16_t status = 0;
     std::vector<std::pair<std::string, std::string>> headers; // Names in lower case.
     std::optional<std::uint64_t> contentLength;
+    bool endsWithConnection = false; // The body has neither a length nor chunks; the end of the connection ends it.
 };
 
 // Whether an answer belongs to the request. A skipped answer is read to its end and dropped; the next one follows.
--- a/src/peers/decode_message.cc
+++ b/src/peers/decode_message.cc
@@ -194,6 +194,13 @@
                         .priority = body.has_priority() ? std::optional(body.priority()) : std::nullopt}};
 }
 
+// Builds that do not state how a body ends take the end of any connection for the end of a response.
+bool endsWithConnection(const fbs::RelayedHead &body)
+{
+    return body.body_end() == fbs::BodyEnd::Connection
+        || (body.body_end() == fbs::BodyEnd::Unstated && !body.has_length());
+}
+
 relayed_head decode(const fbs::RelayedHead &body)
 {
     return {.id = body.id(),
@@ -203,7 +210,8 @@
                      .leaving = body.leaving(),
                      .rateLimit = body.states_limit() ? std::optional(body.rate_limit()) : std::nullopt,
                      .headers = decodeHeaders(*body.headers()),
-                     .contentLength = body.has_length() ? std::optional(body.content_length()) : std::nullopt}};
+                     .contentLength = body.has_length() ? std::optional(body.content_length()) : std::nullopt,
+                     .endsWithConnection = endsWithConnection(body)}};
 }
 
 std::optional<message> decode(const fbs::RelayedEnd &body)
--- a/src/peers/encode_message.cc
+++ b/src/peers/encode_message.cc
@@ -258,7 +258,8 @@
     return fbs::CreateRelayedHead(out, value.id, head.status, head.hasEndpointSignature, head.notExecuted,
                                   head.rateLimit.has_value(), head.rateLimit.value_or(0),
                                   encodeHeaders(out, head.headers), head.contentLength.has_value(),
-                                  head.contentLength.value_or(0), head.leaving)
+                                  head.contentLength.value_or(0), head.leaving,
+                                  head.endsWithConnection ? fbs::BodyEnd::Connection : fbs::BodyEnd::Delimited)
         .Union();
 }
 
--- a/src/peers/internal/peer_messages_generated.h
+++ b/src/peers/internal/peer_messages_generated.h
@@ -181,6 +181,39 @@
   return EnumNamesReplyKind()[index];
 }
 
+enum class BodyEnd : uint8_t {
+  Unstated = 0,
+  Delimited = 1,
+  Connection = 2,
+  MIN = Unstated,
+  MAX = Connection
+};
+
+inline const BodyEnd (&EnumValuesBodyEnd())[3] {
+  static const BodyEnd values[] = {
+    BodyEnd::Unstated,
+    BodyEnd::Delimited,
+    BodyEnd::Connection
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesBodyEnd() {
+  static const char * const names[4] = {
+    "Unstated",
+    "Delimited",
+    "Connection",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameBodyEnd(BodyEnd e) {
+  if (flatbuffers::IsOutRange(e, BodyEnd::Unstated, BodyEnd::Connection)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesBodyEnd()[index];
+}
+
 enum class Body : uint8_t {
   NONE = 0,
   Hello = 1,
@@ -2462,7 +2495,8 @@
     VT_HEADERS = 16,
     VT_HAS_LENGTH = 18,
     VT_CONTENT_LENGTH = 20,
-    VT_LEAVING = 22
+    VT_LEAVING = 22,
+    VT_BODY_END = 24
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -2494,6 +2528,9 @@
   bool leaving() const {
     return GetField<uint8_t>(VT_LEAVING, 0) != 0;
   }
+  jackdawpick::peers::fbs::BodyEnd body_end() const {
+    return static_cast<jackdawpick::peers::fbs::BodyEnd>(GetField<uint8_t>(VT_BODY_END, 0));
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -2508,6 +2545,7 @@
            VerifyField<uint8_t>(verifier, VT_HAS_LENGTH, 1) &&
            VerifyField<uint64_t>(verifier, VT_CONTENT_LENGTH, 8) &&
            VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
+           VerifyField<uint8_t>(verifier, VT_BODY_END, 1) &&
            verifier.EndTable();
   }
 };
@@ -2546,6 +2584,9 @@
   void add_leaving(bool leaving) {
     fbb_.AddElement<uint8_t>(RelayedHead::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
   }
+  void add_body_end(jackdawpick::peers::fbs::BodyEnd body_end) {
+    fbb_.AddElement<uint8_t>(RelayedHead::VT_BODY_END, static_cast<uint8_t>(body_end), 0);
+  }
   explicit RelayedHeadBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2569,13 +2610,15 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<jackdawpick::peers::fbs::Header>>> headers = 0,
     bool has_length = false,
     uint64_t content_length = 0,
-    bool leaving = false) {
+    bool leaving = false,
+    jackdawpick::peers::fbs::BodyEnd body_end = jackdawpick::peers::fbs::BodyEnd::Unstated) {
   RelayedHeadBuilder builder_(_fbb);
   builder_.add_content_length(content_length);
   builder_.add_rate_limit(rate_limit);
   builder_.add_id(id);
   builder_.add_headers(headers);
   builder_.add_status(status);
+  builder_.add_body_end(body_end);
   builder_.add_leaving(leaving);
   builder_.add_has_length(has_length);
   builder_.add_states_limit(states_limit);
@@ -2595,7 +2638,8 @@
     const std::vector<flatbuffers::Offset<jackdawpick::peers::fbs::Header>> *headers = nullptr,
     bool has_length = false,
     uint64_t content_length = 0,
-    bool leaving = false) {
+    bool leaving = false,
+    jackdawpick::peers::fbs::BodyEnd body_end = jackdawpick::peers::fbs::BodyEnd::Unstated) {
   auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<jackdawpick::peers::fbs::Header>>(*headers) : 0;
   return jackdawpick::peers::fbs::CreateRelayedHead(
       _fbb,
@@ -2608,7 +2652,8 @@
       headers__,
       has_length,
       content_length,
-      leaving);
+      leaving,
+      body_end);
 }
 
 struct RelayedChunk FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/peers/peers_test.cc
+++ b/src/peers/peers_test.cc
@@ -56,6 +56,7 @@
             relayed_request{12, {"1.2.3.4:5", "e1", 0, 0, "a", "GET", "h", "/t", {}, "", 0ms, std::nullopt}},
             relayed_head{11, {200, true, false, true, 4.5, {{"x", "y"}}, 800}},
             relayed_head{12, {503, false, true, false, std::nullopt, {}, std::nullopt}},
+            relayed_head{12, {200, true, false, false, std::nullopt, {}, std::nullopt, true}},
             relayed_chunk{11, binary},
             relayed_end{11, endpoint_calls::dispatch_outcome::Lost, true},
             relayed_end{12, endpoint_calls::dispatch_outcome::NotSent, false, true},
