Add failing tests of crashes that end a response in order

The world of gateway/testing ended the connections of a crashing endpoint as lost or silent. crash_sign adds ends in order, between events and inside one, and endpoint_behaviour adds sound and broken responses that end with their connection. The fixture of crashing_request_test moves to a header that both tests include; its cases are as they were, but that runs are counted by attempt if only some attempts crash.

Ruled out: that the cause needs relays, a second caller or another build; one daemon and one caller suffice.

--- a/src/gateway/crashing_request_test.cc
+++ b/src/gateway/crashing_request_test.cc
@@ -1,98 +1,11 @@
 // Requests that crash the endpoints that run them and come again at any daemon.
 
-#include "gateway/testing/gateway_world.h"
-
-#include <algorithm>
-#include <fmt/format.h>
-#include <gtest/gtest.h>
+#include "gateway/testing/crashing_requests.h"
 
 namespace jackdawpick::gateway::testing
 {
 
-namespace
-{
-
 using namespace std::chrono_literals;
-using std::chrono::milliseconds;
-
-// The platform's bound: at most this many runs later than the window after the third crash.
-constexpr std::ptrdiff_t allowedRetries = 3;
-constexpr milliseconds contactWindow{3000};
-constexpr std::size_t crashesUntilKnown = 3;
-
-caller_request crashingRequest(int number)
-{
-    auto request = shopRequest("/pay/x", fmt::format("crash-{}", number));
-    request.program = "program";
-    request.body = "crash";
-    return request;
-}
-
-class crashing_requests : public ::testing::TestWithParam<int>
-{
-protected:
-    crashing_requests()
-    {
-        world.crashing = crashing_request{.body = "crash"};
-        world.warmUp();
-    }
-
-    // Sends the request `count` times to these daemons in turn.
-    void sendCrashing(int count, int firstDaemon = 0, int daemonCount = 1, milliseconds interval = 400ms)
-    {
-        for (int i = 0; i < count; ++i) {
-            world.send((firstDaemon + i % daemonCount) % GetParam(), crashingRequest(++m_sent));
-            world.runFor(interval);
-        }
-    }
-
-    // Crashes the endpoints that make the request known, at daemon 0.
-    void crashThree()
-    {
-        sendCrashing(static_cast<int>(crashesUntilKnown));
-        ASSERT_EQ(world.crashing->crashes.size(), crashesUntilKnown);
-    }
-
-    void restart(int first, int last)
-    {
-        for (int i = first; i < last; ++i) {
-            world.kill(i);
-            world.start(i);
-            world.runFor(300ms);
-        }
-    }
-
-    void setLinksBlocked(int daemon, bool blocked)
-    {
-        for (int other = 0; other < GetParam(); ++other) {
-            for (const auto &link : {std::pair(daemon, other), std::pair(other, daemon)}) {
-                if (blocked) {
-                    world.blockedLinks.insert(link);
-                } else {
-                    world.blockedLinks.erase(link);
-                }
-            }
-        }
-    }
-
-    [[nodiscard]] std::ptrdiff_t runsAfterWindow() const
-    {
-        const auto &crashes = world.crashing->crashes;
-        if (crashes.size() < crashesUntilKnown) {
-            return 0;
-        }
-        const auto end = crashes.at(crashesUntilKnown - 1) + contactWindow;
-        return std::ranges::count_if(world.runs,
-                                     [&](const auto &run) { return run.body == world.crashing->body && run.at > end; });
-    }
-
-    gateway_world world{{.daemons = GetParam(), .engineEndpoints = 4, .shopEndpoints = 12}};
-
-private:
-    int m_sent = 0;
-};
-
-} // namespace
 
 // Guards against knowledge of a crashing request that a rolling restart wipes out daemon by daemon.
 TEST_P(crashing_requests, StayKnownThroughARollingRestart)
@@ -205,7 +118,7 @@
 // Guards against crashes that are not counted, since the endpoint falls silent and the caller leaves.
 TEST_P(crashing_requests, AreCountedWhenEndpointsFallSilent)
 {
-    world.crashing->isSilent = true;
+    world.crashing->sign = crash_sign::Silent;
     world.crashing->downTime = 1500ms;
     for (int i = 0; i < 12; ++i) {
         const auto &response = world.send(i % GetParam(), crashingRequest(200 + i));
--- a/src/gateway/testing/gateway_world.h
+++ b/src/gateway/testing/gateway_world.h
@@ -49,14 +49,25 @@
     FailsUnmarked, // Runs the request and responds with 503, without stating whether it ran.
     Errs, // Runs the request and responds with 500.
     IsAnother, // Another endpoint has the address; it does not run the request.
+    EndsWithConnection, // Responds without a length and closes the connection after the whole response.
+    EndsInsideEvent, // As before, but closes it inside the last event, or after half of a response without events.
+};
+
+// What the connections of an endpoint that crashes show.
+enum class crash_sign : std::uint8_t {
+    Lost, // They are reset.
+    Silent, // They are not closed, and nothing answers.
+    EndBetweenEvents, // A response without a length has begun; the connection is closed in order after an event.
+    EndInsideEvent, // As before, in the middle of an event.
 };
 
 // A request that crashes the endpoints that run it. The endpoint is back after `downTime`.
 struct crashing_request
 {
     std::string body;
+    std::string attemptPrefix; // Only attempts whose ids begin so crash them.
     std::chrono::milliseconds downTime{2000};
-    bool isSilent = false; // Connections to the endpoint are not closed, and nothing answers.
+    crash_sign sign = crash_sign::Lost;
     bool keepsId = false; // The endpoint is back under the id that it had.
     std::vector<time_point> crashes; // When endpoints have crashed.
 };
@@ -265,6 +276,8 @@
     std::set<std::pair<int, dispatch_id>> m_activeDispatches;
     std::map<std::pair<int, dispatch_id>, std::string> m_attempts;
     std::map<std::pair<int, dispatch_id>, std::string> m_dispatchEndpoints; // Of the requests that were run.
+    // Dispatches whose responses have begun, without a length, when their endpoints crash.
+    std::set<std::pair<int, dispatch_id>> m_endingWithConnection;
     std::map<std::string, int> m_logLineCounts;
     std::map<std::string, std::string> m_lastLogLines;
 };
--- a/src/gateway/testing/world_endpoints.cc
+++ b/src/gateway/testing/world_endpoints.cc
@@ -74,7 +74,22 @@
     }
     runs.push_back({output.request.endpoint, output.request.attempt, output.request.body, now()});
     m_dispatchEndpoints[{daemon, output.dispatch}] = id;
-    if (crashing.has_value() && crashing->body == output.request.body) {
+    if (crashing.has_value() && crashing->body == output.request.body
+        && output.request.attempt.starts_with(crashing->attemptPrefix)) {
+        const bool endsInOrder =
+            crashing->sign == crash_sign::EndBetweenEvents || crashing->sign == crash_sign::EndInsideEvent;
+        if (endsInOrder) {
+            m_endingWithConnection.emplace(daemon, output.dispatch);
+            respond(0ms,
+                    response_head{output.dispatch,
+                                  {.status = 200,
+                                   .hasEndpointSignature = true,
+                                   .leaving = leaving,
+                                   .headers = {{"content-type", "text/event-stream"}},
+                                   .endsWithConnection = true}});
+            const std::string rest = crashing->sign == crash_sign::EndInsideEvent ? "id: 2\ndata: " : "";
+            respond(0ms, response_chunk{output.dispatch, "id: 1\ndata: 1\n\n" + rest});
+        }
         schedule(1ms, [=, this] { crashEndpoint(id); });
         return;
     }
@@ -108,7 +123,9 @@
     const int pieceCount = stream ? m_options.eventsPerTurn : 1;
     const auto gap = stream ? m_options.eventInterval : m_options.serviceTime;
     const auto content = stream ? std::string() : "done:" + output.request.attempt;
-    const auto length = stream ? std::nullopt : std::optional<std::uint64_t>(content.size());
+    const bool endsInside = behaviour == endpoint_behaviour::EndsInsideEvent;
+    const bool endsWithConnection = endsInside || behaviour == endpoint_behaviour::EndsWithConnection;
+    const auto length = stream || endsWithConnection ? std::nullopt : std::optional<std::uint64_t>(content.size());
     respond(gap,
             response_head{output.dispatch,
                           {.status = 200,
@@ -116,10 +133,14 @@
                            .leaving = leaving,
                            .rateLimit = rateLimitOf(output.request.endpoint),
                            .headers = headers,
-                           .contentLength = length}});
+                           .contentLength = length,
+                           .endsWithConnection = endsWithConnection}});
     const int sentPieces = behaviour == endpoint_behaviour::TruncatesResponse ? pieceCount / 2 : pieceCount;
     for (int i = 1; i <= sentPieces; ++i) {
-        const auto text = stream ? fmt::format("id: {0}\ndata: {1}-{0}\n\n", i, output.request.attempt) : content;
+        auto text = stream ? fmt::format("id: {0}\ndata: {1}-{0}\n\n", i, output.request.attempt) : content;
+        if (endsInside && i == pieceCount) {
+            text.resize(text.size() / 2);
+        }
         respond(gap * i, response_chunk{output.dispatch, text});
     }
     end(gap * pieceCount + 1ms,
@@ -140,7 +161,7 @@
     ++m_crashCounts[id];
     crashing->crashes.push_back(now());
     schedule(crashing->downTime, [=, this] { restartEndpoint(id); });
-    if (crashing->isSilent) {
+    if (crashing->sign == crash_sign::Silent) {
         return;
     }
     for (const auto &place : m_activeDispatches) {
@@ -149,9 +170,11 @@
             found != m_dispatchEndpoints.end() && found->second == id && pathOf(place.first) == path_behaviour::Open;
         if (isAffected) {
             const int incarnation = m_daemons.at(static_cast<std::size_t>(place.first)).incarnation;
-            schedule(0ms, [this, place, incarnation] {
+            const auto outcome =
+                m_endingWithConnection.contains(place) ? dispatch_outcome::Complete : dispatch_outcome::Lost;
+            schedule(0ms, [this, place, incarnation, outcome] {
                 if (m_activeDispatches.contains(place)) {
-                    deliver(place.first, incarnation, dispatch_finished{place.second, dispatch_outcome::Lost});
+                    deliver(place.first, incarnation, dispatch_finished{place.second, outcome});
                 }
             });
         }
