Break off streams that end, with their connection, inside an event

Callers saw a whole response where an endpoint had closed its connection inside an event: the gateway forwarded the piece of the event and the end of a response, kept the turn, settled its tokens and counted a success. Cause: the end of the connection was taken for the end of the response. Such a response now counts as a lost connection: the piece is not forwarded, the caller's connection is closed without the end of a response, the turn is not kept and the endpoint has failed the request. The same holds for what a peer relays, since its head tells how the body ends. A stream with a length or chunks is passed on as before.

--- a/src/gateway/dispatching.cc
+++ b/src/gateway/dispatching.cc
@@ -309,14 +309,22 @@
         return;
     }
     auto &context = m_requests.at(found->second);
-    if (received.outcome == dispatch_outcome::Complete
-        && (context.responseStarted || context.bufferedHead.has_value())) {
+    const bool hasHead = context.responseStarted || context.bufferedHead.has_value();
+    if (received.outcome == dispatch_outcome::Complete && isBrokenOff(context)) {
+        onDispatchFailed(context, dispatch_outcome::Lost, failure_site::Endpoint, now);
+    } else if (received.outcome == dispatch_outcome::Complete && hasHead) {
         onResponseComplete(context, now);
     } else {
         onDispatchFailed(context, received.outcome, failure_site::Endpoint, now);
     }
 }
 
+// Whether the response has ended, with its connection, inside an event.
+bool gateway::implementation::isBrokenOff(const request_context &context)
+{
+    return context.endsWithConnection && context.eventStream && context.eventSplitter.isInsideEvent();
+}
+
 void gateway::implementation::onResponseComplete(request_context &context, time_point now)
 {
     releaseEndpoint(context, fleet::request_outcome::Answered, now);
--- a/src/gateway/internal/event_splitter.cc
+++ b/src/gateway/internal/event_splitter.cc
@@ -79,4 +79,9 @@
     return std::string_view(m_buffer).substr(m_start);
 }
 
+bool event_splitter::isInsideEvent() const
+{
+    return incompleteEvent().find_first_not_of("\r\n") != std::string_view::npos;
+}
+
 } // namespace jackdawpick::gateway::internal
--- a/src/gateway/internal/event_splitter.h
+++ b/src/gateway/internal/event_splitter.h
@@ -29,6 +29,8 @@
     [[nodiscard]] std::optional<stream_event> next();
     // The bytes received so far of an event that is not complete. Valid after next() has returned nothing.
     [[nodiscard]] std::string_view incompleteEvent() const;
+    // Whether these are more than line ends.
+    [[nodiscard]] bool isInsideEvent() const;
 
 private:
     std::string m_buffer;
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -194,6 +194,7 @@
     void startForwarding(request_context &context, endpoint_calls::endpoint_head &head);
     [[nodiscard]] bool exceedsTurn(const request_context &context) const;
     void forwardEvents(request_context &context, const std::string &bytes, time_point now);
+    [[nodiscard]] static bool isBrokenOff(const request_context &context);
     void onResponseComplete(request_context &context, time_point now);
     // Where a dispatch failed.
     enum class failure_site : std::uint8_t {
