Let a success free its own caller only

Callers could see a request that crashes endpoints sent on and on, because another caller's request with the same method, path and body completed between the crashes and withdrew them. Cause: the identity of a request held no caller. It now holds the content and the caller: the program, else the session or the object. Three failures for one caller, or three of any callers since the last success of any, block; a success withdraws the failures of its own caller. The content stays what a request is known by, since it may come again under another program. Reports carry the caller in a new field, 0 from earlier builds.

The tests' calls take the identity in place of a number; what they check is unchanged.

--- a/src/crashes/crashes.cc
+++ b/src/crashes/crashes.cc
@@ -1,6 +1,7 @@
 #include "crashes/crashes.h"
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
 #include <tuple>
 #include <utility>
@@ -8,19 +9,48 @@
 namespace jackdawpick::crashes
 {
 
+std::optional<time_point> crash_tracker::latestCompletion(const request_failures &value)
+{
+    const auto latest =
+        std::ranges::max_element(value.completed, std::less<>(), [](const auto &item) { return item.second; });
+    return latest == value.completed.end() ? std::nullopt : std::optional(latest->second);
+}
+
+std::size_t crash_tracker::commonFailures(const request_failures &value)
+{
+    const auto completed = latestCompletion(value);
+    return static_cast<std::size_t>(std::ranges::count_if(
+        value.failed, [&](const auto &item) { return !completed.has_value() || item.second.at > *completed; }));
+}
+
+std::size_t crash_tracker::failuresOf(const request_failures &value, std::uint64_t caller)
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(value.failed, [caller](const auto &item) { return item.second.caller == caller; }));
+}
+
+std::size_t crash_tracker::mostFailures(const request_failures &value)
+{
+    std::size_t most = commonFailures(value);
+    for (const auto &[endpoint, entry] : value.failed) {
+        most = std::max(most, failuresOf(value, entry.caller));
+    }
+    return most;
+}
+
 bool crash_tracker::isSuspect(const request_failures &value)
 {
-    return value.failed.size() >= endpointsUntilBlocked;
+    return mostFailures(value) >= endpointsUntilBlocked;
 }
 
-bool crash_tracker::isBlocked(const request_failures &value, time_point now)
+bool crash_tracker::isBlocked(std::size_t failures, time_point latest, time_point now)
 {
-    if (!isSuspect(value)) {
+    if (failures < endpointsUntilBlocked) {
         return false;
     }
     constexpr std::size_t maxDoublings = 4; // Enough for the longest time.
-    const auto doublings = std::min(value.failed.size() - endpointsUntilBlocked, maxDoublings);
-    return now - value.latest < std::min(retention * (1U << doublings), blockedRetention);
+    const auto doublings = std::min(failures - endpointsUntilBlocked, maxDoublings);
+    return now - latest < std::min(retention * (1U << doublings), blockedRetention);
 }
 
 bool crash_tracker::isExpired(const request_failures &value, time_point now)
@@ -28,45 +58,57 @@
     return now - value.latest >= (isSuspect(value) ? blockedRetention : retention);
 }
 
-void crash_tracker::noteChange(std::uint64_t request, const request_failures &value)
+void crash_tracker::noteChange(std::uint64_t content, const request_failures &value)
 {
-    m_changed.insert(request);
+    m_changed.insert(content);
     const auto needed = std::min(value.failed.size(), endpointsUntilBlocked);
     if (needed >= endpointsUntilStored && value.storedFailures < needed) {
-        m_unstored.insert(request);
+        m_unstored.insert(content);
     } else {
-        m_unstored.erase(request);
+        m_unstored.erase(content);
     }
 }
 
-bool crash_tracker::recordFailure(std::uint64_t request, const endpoint_incarnation &endpoint, time_point at)
+bool crash_tracker::recordFailure(const request_identity &request, const endpoint_incarnation &endpoint, time_point at)
 {
-    const auto known = m_requests.find(request);
+    const auto known = m_requests.find(request.content);
     if (known == m_requests.end() && m_requests.size() >= maxRequests) {
         evictLeastTelling();
-    } else if (known != m_requests.end() && known->second.completedAt.value_or(time_point::min()) >= at) {
-        return false;
+    } else if (known != m_requests.end()) {
+        const auto completed = known->second.completed.find(request.caller);
+        if (completed != known->second.completed.end() && completed->second >= at) {
+            return false;
+        }
     }
-    auto &value = m_requests[request];
+    auto &value = m_requests[request.content];
     value.latest = std::max(value.latest, at);
-    const auto [place, isNew] = value.failed.try_emplace(endpoint, at);
-    place->second = std::max(place->second, at);
-    noteChange(request, value);
+    const auto [place, isNew] = value.failed.try_emplace(endpoint, failure{request.caller, at});
+    place->second.at = std::max(place->second.at, at);
+    noteChange(request.content, value);
     return isNew;
 }
 
-bool crash_tracker::recordCompletion(std::uint64_t request, time_point at)
+bool crash_tracker::recordCompletion(const request_identity &request, time_point at)
 {
-    const auto found = m_requests.find(request);
+    const auto found = m_requests.find(request.content);
     if (found == m_requests.end()) {
         return false;
     }
     auto &value = found->second;
-    value.completedAt = std::max(value.completedAt.value_or(at), at);
+    if (value.completed.size() >= maxCompletions && !value.completed.contains(request.caller)) {
+        value.completed.erase(
+            std::ranges::min_element(value.completed, std::less<>(), [](const auto &item) { return item.second; }));
+    }
+    auto &completedAt = value.completed.try_emplace(request.caller, at).first->second;
+    completedAt = std::max(completedAt, at);
     value.latest = std::max(value.latest, at);
-    const bool withdrawn = std::erase_if(value.failed, [at](const auto &failure) { return failure.second <= at; }) > 0;
-    noteChange(request, value);
-    return withdrawn;
+    const auto countedBefore = commonFailures(value);
+    const bool withdrawn =
+        std::erase_if(value.failed,
+                      [&](const auto &item) { return item.second.caller == request.caller && item.second.at <= at; })
+        > 0;
+    noteChange(request.content, value);
+    return withdrawn || commonFailures(value) < countedBefore;
 }
 
 void crash_tracker::evictLeastTelling()
@@ -79,7 +121,8 @@
     m_requests.erase(least);
 }
 
-bool crash_tracker::onEndpointFailed(std::uint64_t request, const endpoint_incarnation &endpoint, time_point now)
+bool crash_tracker::onEndpointFailed(const request_identity &request, const endpoint_incarnation &endpoint,
+                                     time_point now)
 {
     const bool isNew = recordFailure(request, endpoint, now);
     if (isNew) {
@@ -88,7 +131,8 @@
     return isNew;
 }
 
-void crash_tracker::onOutcomeUnknown(std::uint64_t request, const endpoint_incarnation &endpoint, time_point now)
+void crash_tracker::onOutcomeUnknown(const request_identity &request, const endpoint_incarnation &endpoint,
+                                     time_point now)
 {
     if (m_suspicions.size() >= maxSuspicions) {
         m_suspicions.pop_front();
@@ -104,7 +148,7 @@
             return false;
         }
         if (now - entry.at < suspicionTime && onEndpointFailed(entry.request, entry.endpoint, now)) {
-            counted.push_back(entry.request);
+            counted.push_back(entry.request.content);
         }
         return true;
     });
@@ -119,7 +163,7 @@
     return ids;
 }
 
-bool crash_tracker::onCompleted(std::uint64_t request, time_point now)
+bool crash_tracker::onCompleted(const request_identity &request, time_point now)
 {
     const bool withdrawn = recordCompletion(request, now);
     if (withdrawn) {
@@ -137,16 +181,22 @@
     }
 }
 
-bool crash_tracker::isBlocked(std::uint64_t request, time_point now) const
+bool crash_tracker::isBlocked(const request_identity &request, time_point now) const
 {
-    const auto found = m_requests.find(request);
-    return found != m_requests.end() && isBlocked(found->second, now);
+    const auto found = m_requests.find(request.content);
+    if (found == m_requests.end()) {
+        return false;
+    }
+    const auto &value = found->second;
+    const auto own = failuresOf(value, request.caller);
+    const bool isProven = own == 0 && value.completed.contains(request.caller);
+    return isBlocked(isProven ? 0 : std::max(own, commonFailures(value)), value.latest, now);
 }
 
 std::size_t crash_tracker::blockedCount(time_point now) const
 {
-    return static_cast<std::size_t>(
-        std::ranges::count_if(m_requests, [now](const auto &item) { return isBlocked(item.second, now); }));
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_requests, [now](const auto &item) { return isBlocked(mostFailures(item.second), item.second.latest, now); }));
 }
 
 std::vector<run_report> crash_tracker::takeReports()
@@ -157,37 +207,41 @@
 std::vector<block_change> crash_tracker::takeChanges()
 {
     std::vector<block_change> changes;
-    for (const auto request : std::exchange(m_changed, {})) {
-        const auto found = m_requests.find(request);
+    for (const auto content : std::exchange(m_changed, {})) {
+        const auto found = m_requests.find(content);
         if (found == m_requests.end()) {
             continue;
         }
         auto &value = found->second;
-        const bool blocked = isSuspect(value);
+        const auto failures = mostFailures(value);
+        const bool blocked = failures >= endpointsUntilBlocked;
         if (std::exchange(value.reportedBlocked, blocked) != blocked) {
-            changes.push_back({.request = request, .blocked = blocked, .failures = value.failed.size()});
+            changes.push_back({.content = content, .blocked = blocked, .failures = failures});
         }
     }
     return changes;
 }
 
-void crash_tracker::appendReports(std::uint64_t request, const request_failures &value, time_point now,
+void crash_tracker::appendReports(std::uint64_t content, const request_failures &value, time_point now,
                                   std::vector<run_report> &out)
 {
-    if (value.completedAt.has_value()) {
-        out.push_back(
-            {.request = request, .failed = std::nullopt, .age = millisecondsBetween(*value.completedAt, now)});
-    }
-    std::ranges::transform(value.failed, std::back_inserter(out), [&](const auto &failure) {
-        return run_report{.request = request, .failed = failure.first, .age = millisecondsBetween(failure.second, now)};
+    std::ranges::transform(value.completed, std::back_inserter(out), [&](const auto &completion) {
+        return run_report{.request = {content, completion.first},
+                          .failed = std::nullopt,
+                          .age = millisecondsBetween(completion.second, now)};
+    });
+    std::ranges::transform(value.failed, std::back_inserter(out), [&](const auto &item) {
+        return run_report{.request = {content, item.second.caller},
+                          .failed = item.first,
+                          .age = millisecondsBetween(item.second.at, now)};
     });
 }
 
 std::vector<run_report> crash_tracker::allReports(time_point now) const
 {
     std::vector<run_report> reports;
-    for (const auto &[request, value] : m_requests) {
-        appendReports(request, value, now, reports);
+    for (const auto &[content, value] : m_requests) {
+        appendReports(content, value, now, reports);
     }
     return reports;
 }
@@ -197,26 +251,26 @@
     return m_unstored;
 }
 
-std::vector<run_report> crash_tracker::reportsOf(std::uint64_t request, time_point now) const
+std::vector<run_report> crash_tracker::reportsOf(std::uint64_t content, time_point now) const
 {
     std::vector<run_report> reports;
-    if (const auto found = m_requests.find(request); found != m_requests.end()) {
-        appendReports(request, found->second, now, reports);
+    if (const auto found = m_requests.find(content); found != m_requests.end()) {
+        appendReports(content, found->second, now, reports);
     }
     return reports;
 }
 
-void crash_tracker::onStored(std::uint64_t request, std::size_t failures)
+void crash_tracker::onStored(std::uint64_t content, std::size_t failures)
 {
-    if (const auto found = m_requests.find(request); found != m_requests.end()) {
+    if (const auto found = m_requests.find(content); found != m_requests.end()) {
         found->second.storedFailures = failures;
-        noteChange(request, found->second);
+        noteChange(content, found->second);
     }
 }
 
-bool crash_tracker::isStored(std::uint64_t request) const
+bool crash_tracker::isStored(std::uint64_t content) const
 {
-    const auto found = m_requests.find(request);
+    const auto found = m_requests.find(content);
     return found != m_requests.end() && found->second.storedFailures > 0;
 }
 
--- a/src/crashes/crashes.h
+++ b/src/crashes/crashes.h
@@ -7,7 +7,8 @@
 //   crashes.onEndpointFailed(request, {"endpoint-1", born}, now); // the connection was lost while the request ran
 //   if (crashes.isBlocked(request, now)) { ... }                  // several failed and none completed the request
 //
-// A request is identified by a hash of its content that is the same for all of its retries. No I/O; thread-compatible.
+// A request is known by its content, since a later attempt may come under another program. A success proves that the
+// request of its own caller does no harm; the failures of others still count for them. No I/O; thread-compatible.
 
 #include "clock/clock.h"
 #include "endpoint_calls/endpoint_calls.h"
@@ -26,11 +27,12 @@
 {
 
 using endpoint_calls::endpoint_incarnation;
+using endpoint_calls::request_identity;
 
 // An outcome of a request that daemons report to each other.
 struct run_report
 {
-    std::uint64_t request = 0;
+    request_identity request;
     std::optional<endpoint_incarnation> failed; // Unset if the request completed.
     std::chrono::milliseconds age{0};
     bool operator==(const run_report &) const = default;
@@ -39,7 +41,7 @@
 // A request that is blocked from now on, or no more.
 struct block_change
 {
-    std::uint64_t request = 0;
+    std::uint64_t content = 0;
     bool blocked = false;
     std::size_t failures = 0; // Endpoints that failed, as far as known.
     bool operator==(const block_change &) const = default;
@@ -63,23 +65,25 @@
     static constexpr std::size_t maxSuspicions = 512;
     // When full, a request that is not blocked is evicted first: the one with the fewest and oldest failures.
     static constexpr std::size_t maxRequests = 1024;
+    // Callers whose latest success is kept for each request.
+    static constexpr std::size_t maxCompletions = 16;
 
     // The connection was lost while the endpoint ran the request. Returns whether that is new; it is then queued as a
     // report to the other daemons.
-    bool onEndpointFailed(std::uint64_t request, const endpoint_incarnation &endpoint, time_point now);
+    bool onEndpointFailed(const request_identity &request, const endpoint_incarnation &endpoint, time_point now);
     // The request was sent, and this daemon stopped waiting for its response.
-    void onOutcomeUnknown(std::uint64_t request, const endpoint_incarnation &endpoint, time_point now);
+    void onOutcomeUnknown(const request_identity &request, const endpoint_incarnation &endpoint, time_point now);
     // The endpoint has ended or cannot be reached. Counts as a failure of the requests whose outcome is not known, and
-    // returns these.
+    // returns their contents.
     std::vector<std::uint64_t> onEndpointGone(const std::string &id, time_point now);
     // Ids of endpoints with requests whose outcome is not known.
     [[nodiscard]] std::set<std::string> suspectedEndpoints() const;
     // The endpoint has run the request to its end. Returns true if failures are thereby withdrawn.
-    bool onCompleted(std::uint64_t request, time_point now);
+    bool onCompleted(const request_identity &request, time_point now);
     // Applies a report of another daemon, or one read from the store.
     void onReport(const run_report &report, time_point now);
 
-    [[nodiscard]] bool isBlocked(std::uint64_t request, time_point now) const;
+    [[nodiscard]] bool isBlocked(const request_identity &request, time_point now) const;
     [[nodiscard]] std::size_t blockedCount(time_point now) const;
     // Removes and returns the queued reports to the other daemons.
     [[nodiscard]] std::vector<run_report> takeReports();
@@ -88,23 +92,30 @@
     // All that is known, for a daemon that may know nothing.
     [[nodiscard]] std::vector<run_report> allReports(time_point now) const;
 
-    // Requests whose failures are not all in the store.
+    // Contents of requests whose failures are not all in the store.
     [[nodiscard]] const std::set<std::uint64_t> &unstored() const;
-    [[nodiscard]] std::vector<run_report> reportsOf(std::uint64_t request, time_point now) const;
+    [[nodiscard]] std::vector<run_report> reportsOf(std::uint64_t content, time_point now) const;
     // The latest record of the request in the store holds this many failures; 0: there is none.
-    void onStored(std::uint64_t request, std::size_t failures);
+    void onStored(std::uint64_t content, std::size_t failures);
     // Whether the store has a record of the request.
-    [[nodiscard]] bool isStored(std::uint64_t request) const;
+    [[nodiscard]] bool isStored(std::uint64_t content) const;
 
-    // Returns the requests that were forgotten and have a record in the store.
+    // Returns the contents that were forgotten and have a record in the store.
     std::vector<std::uint64_t> evictExpired(time_point now);
     [[nodiscard]] std::size_t size() const;
 
 private:
+    struct failure
+    {
+        std::uint64_t caller = 0;
+        time_point at{};
+    };
+
+    // What is known of all requests with one content.
     struct request_failures
     {
-        std::map<endpoint_incarnation, time_point> failed;
-        std::optional<time_point> completedAt; // Earlier failures do not count.
+        std::map<endpoint_incarnation, failure> failed;
+        std::map<std::uint64_t, time_point> completed; // By caller.
         time_point latest{}; // Failure or completion.
         std::size_t storedFailures = 0;
         bool reportedBlocked = false; // As of the last call of takeChanges().
@@ -112,22 +123,28 @@
 
     struct suspicion
     {
-        std::uint64_t request = 0;
+        request_identity request;
         endpoint_incarnation endpoint;
         time_point at;
     };
 
-    bool recordFailure(std::uint64_t request, const endpoint_incarnation &endpoint, time_point at);
-    bool recordCompletion(std::uint64_t request, time_point at);
-    void noteChange(std::uint64_t request, const request_failures &value);
+    bool recordFailure(const request_identity &request, const endpoint_incarnation &endpoint, time_point at);
+    bool recordCompletion(const request_identity &request, time_point at);
+    void noteChange(std::uint64_t content, const request_failures &value);
     void evictLeastTelling();
+    [[nodiscard]] static std::optional<time_point> latestCompletion(const request_failures &value);
+    // Failures of any caller that no success of any caller has followed.
+    [[nodiscard]] static std::size_t commonFailures(const request_failures &value);
+    [[nodiscard]] static std::size_t failuresOf(const request_failures &value, std::uint64_t caller);
+    // The largest number of failures that counts for any caller.
+    [[nodiscard]] static std::size_t mostFailures(const request_failures &value);
     [[nodiscard]] static bool isSuspect(const request_failures &value);
-    [[nodiscard]] static bool isBlocked(const request_failures &value, time_point now);
+    [[nodiscard]] static bool isBlocked(std::size_t failures, time_point latest, time_point now);
     [[nodiscard]] static bool isExpired(const request_failures &value, time_point now);
-    static void appendReports(std::uint64_t request, const request_failures &value, time_point now,
+    static void appendReports(std::uint64_t content, const request_failures &value, time_point now,
                               std::vector<run_report> &out);
 
-    std::map<std::uint64_t, request_failures> m_requests;
+    std::map<std::uint64_t, request_failures> m_requests; // By content.
     std::deque<suspicion> m_suspicions; // Oldest first.
     std::vector<run_report> m_reports;
     std::set<std::uint64_t> m_changed; // Requests that takeChanges() looks at.
--- a/src/crashes/crashes_test.cc
+++ b/src/crashes/crashes_test.cc
@@ -17,7 +17,7 @@
     void failEndpoints(crash_tracker &tracker, std::uint64_t request, int count, int first = 0, std::uint64_t born = 1)
     {
         for (int i = first; i < first + count; ++i) {
-            tracker.onEndpointFailed(request, {fmt::format("e{}", i), born}, clock.now());
+            tracker.onEndpointFailed({request}, {fmt::format("e{}", i), born}, clock.now());
         }
     }
 
@@ -31,15 +31,15 @@
 TEST_F(crashes_test, RequestIsBlockedAfterThreeEndpoints)
 {
     failEndpoints(local, 7, 2);
-    EXPECT_FALSE(local.isBlocked(7, clock.now()));
+    EXPECT_FALSE(local.isBlocked({7}, clock.now()));
     failEndpoints(local, 7, 2); // Repeated failures of the same endpoints point to the endpoints, not to the request.
-    EXPECT_FALSE(local.isBlocked(7, clock.now()));
+    EXPECT_FALSE(local.isBlocked({7}, clock.now()));
     failEndpoints(local, 7, 1, 2);
-    EXPECT_TRUE(local.isBlocked(7, clock.now()));
-    EXPECT_FALSE(local.isBlocked(8, clock.now()));
+    EXPECT_TRUE(local.isBlocked({7}, clock.now()));
+    EXPECT_FALSE(local.isBlocked({8}, clock.now()));
     failEndpoints(local, 8, 2);
     clock.advance(crash_tracker::retention);
-    EXPECT_FALSE(local.isBlocked(7, clock.now()));
+    EXPECT_FALSE(local.isBlocked({7}, clock.now()));
     local.evictExpired(clock.now());
     EXPECT_EQ(local.size(), 1U);
     clock.advance(crash_tracker::blockedRetention);
@@ -51,10 +51,10 @@
 TEST_F(crashes_test, CompletionClearsTheRequest)
 {
     failEndpoints(local, 7, 2);
-    EXPECT_TRUE(local.onCompleted(7, clock.now()));
+    EXPECT_TRUE(local.onCompleted({7}, clock.now()));
     failEndpoints(local, 7, 2, 2);
-    EXPECT_FALSE(local.isBlocked(7, clock.now()));
-    EXPECT_FALSE(local.onCompleted(9, clock.now()));
+    EXPECT_FALSE(local.isBlocked({7}, clock.now()));
+    EXPECT_FALSE(local.onCompleted({9}, clock.now()));
 }
 
 // Guards against a request that stays unblocked because each daemon has seen only one or two of the crashes.
@@ -66,13 +66,13 @@
     for (const auto &report : local.takeReports()) {
         remote.onReport(report, clock.now());
     }
-    EXPECT_TRUE(remote.isBlocked(7, clock.now()));
+    EXPECT_TRUE(remote.isBlocked({7}, clock.now()));
     EXPECT_TRUE(local.takeReports().empty());
-    local.onCompleted(7, clock.now());
+    local.onCompleted({7}, clock.now());
     for (const auto &report : local.takeReports()) {
         remote.onReport(report, clock.now());
     }
-    EXPECT_FALSE(remote.isBlocked(7, clock.now()));
+    EXPECT_FALSE(remote.isBlocked({7}, clock.now()));
 }
 
 // Guards against a request that crashes three more endpoints each time that its block ends, and against one that stays
@@ -81,15 +81,15 @@
 {
     failEndpoints(local, 7, 3);
     clock.advance(crash_tracker::retention);
-    EXPECT_FALSE(local.isBlocked(7, clock.now()));
+    EXPECT_FALSE(local.isBlocked({7}, clock.now()));
     failEndpoints(local, 7, 1, 3);
     clock.advance(crash_tracker::retention);
-    EXPECT_TRUE(local.isBlocked(7, clock.now()));
+    EXPECT_TRUE(local.isBlocked({7}, clock.now()));
     clock.advance(crash_tracker::retention);
-    EXPECT_FALSE(local.isBlocked(7, clock.now()));
+    EXPECT_FALSE(local.isBlocked({7}, clock.now()));
     failEndpoints(local, 7, 20, 4);
     clock.advance(crash_tracker::blockedRetention - 1s);
-    EXPECT_TRUE(local.isBlocked(7, clock.now()));
+    EXPECT_TRUE(local.isBlocked({7}, clock.now()));
 }
 
 // Guards against an endpoint that counts once although it has started and crashed again under its id.
@@ -97,7 +97,7 @@
 {
     failEndpoints(local, 7, 2);
     failEndpoints(local, 7, 1, 0, 2);
-    EXPECT_TRUE(local.isBlocked(7, clock.now()));
+    EXPECT_TRUE(local.isBlocked({7}, clock.now()));
 }
 
 // Guards against memory use that grows with the number of failing requests.
@@ -118,13 +118,13 @@
         clock.advance(1ms);
         failEndpoints(local, request, 1);
     }
-    EXPECT_TRUE(local.isBlocked(1, clock.now()));
+    EXPECT_TRUE(local.isBlocked({1}, clock.now()));
     for (std::uint64_t request = 2; request < 2 * crash_tracker::maxRequests; ++request) {
         clock.advance(1ms);
         failEndpoints(local, request, 3);
     }
     EXPECT_EQ(local.size(), crash_tracker::maxRequests);
-    EXPECT_FALSE(local.isBlocked(1, clock.now()));
+    EXPECT_FALSE(local.isBlocked({1}, clock.now()));
 }
 
 // Guards against failures from before a success that a daemon which has missed the success tells once more.
@@ -134,24 +134,24 @@
     const auto before = local.allReports(clock.now());
     ASSERT_EQ(before.size(), 3U);
     clock.advance(1s);
-    local.onCompleted(7, clock.now());
+    local.onCompleted({7}, clock.now());
     clock.advance(1s);
     for (auto report : before) {
         report.age = 2s;
         local.onReport(report, clock.now());
     }
-    EXPECT_FALSE(local.isBlocked(7, clock.now()));
+    EXPECT_FALSE(local.isBlocked({7}, clock.now()));
 }
 
 // Guards against crashes of endpoints that fall silent, which show no end of a connection.
 TEST_F(crashes_test, UnknownOutcomeCountsOnceTheEndpointIsGone)
 {
     failEndpoints(local, 7, 2);
-    local.onOutcomeUnknown(7, {"silent", 1}, clock.now());
-    local.onOutcomeUnknown(8, {"other", 1}, clock.now());
-    EXPECT_FALSE(local.isBlocked(7, clock.now()));
+    local.onOutcomeUnknown({7}, {"silent", 1}, clock.now());
+    local.onOutcomeUnknown({8}, {"other", 1}, clock.now());
+    EXPECT_FALSE(local.isBlocked({7}, clock.now()));
     EXPECT_EQ(local.onEndpointGone("silent", clock.now()), std::vector<std::uint64_t>{7});
-    EXPECT_TRUE(local.isBlocked(7, clock.now()));
+    EXPECT_TRUE(local.isBlocked({7}, clock.now()));
     EXPECT_EQ(local.suspectedEndpoints(), std::set<std::string>{"other"});
     clock.advance(crash_tracker::suspicionTime);
     EXPECT_TRUE(local.onEndpointGone("other", clock.now()).empty());
@@ -177,11 +177,11 @@
 TEST_F(crashes_test, ChangesAreReportedOnce)
 {
     failEndpoints(local, 7, 3);
-    EXPECT_EQ(local.takeChanges(), (std::vector<block_change>{{.request = 7, .blocked = true, .failures = 3}}));
+    EXPECT_EQ(local.takeChanges(), (std::vector<block_change>{{.content = 7, .blocked = true, .failures = 3}}));
     failEndpoints(local, 7, 4);
     EXPECT_TRUE(local.takeChanges().empty());
-    local.onCompleted(7, clock.now());
-    EXPECT_EQ(local.takeChanges(), (std::vector<block_change>{{.request = 7, .blocked = false, .failures = 0}}));
+    local.onCompleted({7}, clock.now());
+    EXPECT_EQ(local.takeChanges(), (std::vector<block_change>{{.content = 7, .blocked = false, .failures = 0}}));
 }
 
 } // namespace jackdawpick::crashes
--- a/src/endpoint_calls/endpoint_calls.h
+++ b/src/endpoint_calls/endpoint_calls.h
@@ -34,12 +34,20 @@
     return std::tie(left.id, left.born) < std::tie(right.id, right.born);
 }
 
+// Identifies a request over all its attempts.
+struct request_identity
+{
+    std::uint64_t content = 0; // Hash of method, host, path and body.
+    std::uint64_t caller = 0; // Hash of what names its caller in all attempts; 0 if unknown.
+    bool operator==(const request_identity &) const = default;
+};
+
 struct endpoint_request
 {
     std::string address; // "ip:port"
     std::string endpoint; // Expected id; an endpoint with another id must not run the request.
     std::uint64_t endpointBorn = 0; // As in endpoint_incarnation.
-    std::uint64_t content = 0; // Identifies the request over all its attempts.
+    request_identity identity;
     std::string attempt;
     std::string method;
     std::string host;
--- a/src/gateway/crash_reports.cc
+++ b/src/gateway/crash_reports.cc
@@ -45,7 +45,7 @@
 // The endpoint may or may not be alive; if it turns out to have ended, the request counts as the cause.
 void gateway::implementation::noteOutcomeUnknown(const request_context &context, time_point now)
 {
-    m_crashes.onOutcomeUnknown(context.contentHash, {context.endpoint, context.endpointBorn}, now);
+    m_crashes.onOutcomeUnknown(context.identity, {context.endpoint, context.endpointBorn}, now);
 }
 
 void gateway::implementation::noteRunFailure(const request_context &context, dispatch_outcome outcome,
@@ -59,9 +59,9 @@
     } else if (where == failure_site::Path || outcome == dispatch_outcome::TimedOut || !hasPath) {
         noteOutcomeUnknown(context, now);
     } else if (where == failure_site::Endpoint && outcome == dispatch_outcome::Lost
-               && m_crashes.onEndpointFailed(context.contentHash, {context.endpoint, context.endpointBorn}, now)) {
+               && m_crashes.onEndpointFailed(context.identity, {context.endpoint, context.endpointBorn}, now)) {
         logRequest(log_level::Warning, "endpoint_broke", context,
-                   {{"endpoint", context.endpoint}, {"content", context.contentHash}}, now);
+                   {{"endpoint", context.endpoint}, {"content", context.identity.content}}, now);
     }
 }
 
@@ -105,7 +105,7 @@
 {
     for (const auto &change : m_crashes.takeChanges()) {
         log(log_level::Warning, change.blocked ? "request_blocked" : "request_released",
-            {{"content", change.request}, {"failures", change.failures}, {"source", source}});
+            {{"content", change.content}, {"failures", change.failures}, {"source", source}});
     }
 }
 
@@ -114,8 +114,8 @@
     logBlockChanges("response");
     if (auto reports = m_crashes.takeReports(); !reports.empty()) {
         for (const auto &report : reports) {
-            if (!report.failed.has_value() && m_crashes.isStored(report.request)) {
-                writeCrashRecord(report.request, {}, now);
+            if (!report.failed.has_value() && m_crashes.isStored(report.request.content)) {
+                writeCrashRecord(report.request.content, {}, now);
             }
         }
         m_peers.broadcast(peers::run_reports{std::move(reports)}, m_effects);
@@ -180,7 +180,7 @@
     }
     if (record.value.empty()) {
         // Its writer has seen a success, or the failures are too old to count.
-        applyRunReports({{.request = *content, .failed = std::nullopt}}, "store", now);
+        applyRunReports({{.request = {*content}, .failed = std::nullopt}}, "store", now);
         m_crashes.onStored(*content, 0);
         return true;
     }
--- a/src/gateway/dispatching.cc
+++ b/src/gateway/dispatching.cc
@@ -79,7 +79,7 @@
 // Refuses a request that crashes endpoints, truthfully: it may have run if it was sent before.
 bool gateway::implementation::refuseIfBlocked(request_context &context, time_point now)
 {
-    const bool blocked = m_crashes.isBlocked(context.contentHash, now);
+    const bool blocked = m_crashes.isBlocked(context.identity, now);
     if (blocked) {
         const auto code = context.attempts > 0 ? result_code::OutcomeUnknown : result_code::RequestBlocked;
         refuseRequest(context, code, std::nullopt, now);
@@ -155,7 +155,7 @@
     return {.address = chosen.address,
             .endpoint = chosen.id,
             .endpointBorn = chosen.born,
-            .content = context.contentHash,
+            .identity = context.identity,
             .attempt = request.attempt,
             .method = request.method,
             .host = request.host,
@@ -329,7 +329,7 @@
 {
     releaseEndpoint(context, fleet::request_outcome::Answered, now);
     if (context.status / 100 == 2) { // An error may have been decided before the request was run.
-        m_crashes.onCompleted(context.contentHash, now);
+        m_crashes.onCompleted(context.identity, now);
     }
     if (context.bufferedHead.has_value()) {
         m_effects.emplace_back(start_response{context.id, context.bufferedHead->status, context.bufferedHead->headers,
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -251,7 +251,7 @@
         link_id link{};
         std::uint64_t request = 0; // Chosen by the peer.
         endpoint_calls::endpoint_incarnation endpoint;
-        std::uint64_t content = 0; // As in endpoint_request.
+        endpoint_calls::request_identity identity;
         std::size_t bytes = 0; // Of the response, passed on so far.
     };
 
--- a/src/gateway/internal/request_context.h
+++ b/src/gateway/internal/request_context.h
@@ -47,7 +47,7 @@
     std::shared_ptr<const routing::route_table> table; // The table in force when the request arrived.
     const routing::route *route = nullptr;
     std::string service;
-    std::uint64_t contentHash = 0; // The same for all retries of a request by its caller.
+    endpoint_calls::request_identity identity;
     time_point arrived;
     time_point deadline;
     bool inGracePeriod = false; // The deadline has passed; the endpoint may still report that itself.
--- a/src/gateway/relaying.cc
+++ b/src/gateway/relaying.cc
@@ -203,7 +203,7 @@
 
 void gateway::implementation::on(link_id link, const peers::relayed_request &message, time_point now)
 {
-    const bool blocked = m_crashes.isBlocked(message.request.content, now);
+    const bool blocked = m_crashes.isBlocked(message.request.identity, now);
     const bool leaving = m_pool.isLeaving({message.request.endpoint, message.request.endpointBorn});
     const bool canRelay = m_relayed.size() < maxRelayedRequests && !m_paths.isCutOff() && !m_stopped;
     const bool accepted = canRelay && !blocked && !leaving;
@@ -226,7 +226,7 @@
                       relayed_dispatch{.link = link,
                                        .request = message.id,
                                        .endpoint = {message.request.endpoint, message.request.endpointBorn},
-                                       .content = message.request.content});
+                                       .identity = message.request.identity});
     m_effects.emplace_back(start_dispatch{dispatch, message.request});
 }
 
@@ -263,13 +263,13 @@
     if (found == m_relayed.end()) {
         return;
     }
-    const auto &[link, request, endpoint, content, bytes] = found->second;
+    const auto &[link, request, endpoint, identity, bytes] = found->second;
     if (received.outcome == dispatch_outcome::NotSent) {
         m_paths.onConnectFailed(endpoint.id, now);
     } else if (received.outcome == dispatch_outcome::Lost && !m_paths.isCutOff()) {
-        m_crashes.onEndpointFailed(content, endpoint, now);
+        m_crashes.onEndpointFailed(identity, endpoint, now);
     } else if (received.outcome != dispatch_outcome::Complete) {
-        m_crashes.onOutcomeUnknown(content, endpoint, now);
+        m_crashes.onOutcomeUnknown(identity, endpoint, now);
     }
     m_lastRequestFinishedAt = now;
     endRelayed(received.dispatch, received.outcome);
@@ -285,7 +285,7 @@
 void gateway::implementation::cancelRelayed(dispatch_id id, const relayed_dispatch &dispatch, time_point now)
 {
     m_effects.emplace_back(cancel_dispatch{id});
-    m_crashes.onOutcomeUnknown(dispatch.content, dispatch.endpoint, now);
+    m_crashes.onOutcomeUnknown(dispatch.identity, dispatch.endpoint, now);
 }
 
 void gateway::implementation::on(link_id link, const peers::relayed_cancel &message, time_point now)
--- a/src/gateway/requests.cc
+++ b/src/gateway/requests.cc
@@ -30,15 +30,27 @@
     return static_cast<double>(XXH3_64bits(key.data(), key.size()) >> 32U) / range;
 }
 
-// All attempts of a request have the same hash. A body identifies a request under whatever program, session or previous
-// turn it comes again; requests without one are told apart by their program and object.
-std::uint64_t contentHashOf(const caller_request &request)
+// What names the caller of a request in all its attempts: the program if there is one, else the session or the object.
+std::string_view callerOf(const caller_request &request)
+{
+    if (!request.program.empty()) {
+        return request.program;
+    }
+    return request.session.empty() ? request.affinity : request.session;
+}
+
+// All attempts of a request have the same content. A body identifies a request under whatever program, session or
+// previous turn it comes again; requests without one are told apart by their program and object.
+endpoint_calls::request_identity identityOf(const caller_request &request)
 {
     auto head = fmt::format("{} {} {}", request.method, request.host, request.path);
     if (request.body.empty()) {
         head += fmt::format(" {} {}", request.program, request.affinity);
     }
-    return XXH3_64bits_withSeed(request.body.data(), request.body.size(), XXH3_64bits(head.data(), head.size()));
+    const auto caller = callerOf(request);
+    return {.content =
+                XXH3_64bits_withSeed(request.body.data(), request.body.size(), XXH3_64bits(head.data(), head.size())),
+            .caller = XXH3_64bits(caller.data(), caller.size())};
 }
 
 milliseconds timeoutFor(const caller_request &request, const routing::route &route)
@@ -71,7 +83,7 @@
     context.request = std::move(received.request);
     context.arrived = now;
     context.deadline = now + timeoutFor(context.request, *route);
-    context.contentHash = contentHashOf(context.request);
+    context.identity = identityOf(context.request);
     m_deadlines.emplace(context.deadline, context.id);
     if (!refuseIfBlocked(context, now)) {
         prepareRequest(context, now);
--- a/src/peers/decode_message.cc
+++ b/src/peers/decode_message.cc
@@ -50,7 +50,8 @@
 {
     run_reports value;
     std::ranges::transform(*body.reports(), std::back_inserter(value.reports), [](const auto *report) {
-        crashes::run_report result{.request = report->request(), .age = std::chrono::milliseconds(report->age_ms())};
+        crashes::run_report result{.request = {report->request(), report->caller()},
+                                   .age = std::chrono::milliseconds(report->age_ms())};
         if (!report->endpoint()->str().empty()) {
             result.failed = crashes::endpoint_incarnation{report->endpoint()->str(), report->born()};
         }
@@ -183,7 +184,7 @@
             .request = {.address = decode(body.address()),
                         .endpoint = decode(body.endpoint()),
                         .endpointBorn = body.endpoint_born(),
-                        .content = body.content(),
+                        .identity = {body.content(), body.caller()},
                         .attempt = decode(body.attempt()),
                         .method = decode(body.method()),
                         .host = decode(body.host()),
--- a/src/peers/encode_message.cc
+++ b/src/peers/encode_message.cc
@@ -200,8 +200,8 @@
     std::vector<flatbuffers::Offset<fbs::RunReport>> reports;
     std::ranges::transform(value.reports, std::back_inserter(reports), [&out](const auto &report) {
         const auto failed = report.failed.value_or(crashes::endpoint_incarnation{});
-        return fbs::CreateRunReport(out, report.request, out.CreateString(failed.id), failed.born,
-                                    static_cast<std::uint32_t>(report.age.count()));
+        return fbs::CreateRunReport(out, report.request.content, out.CreateString(failed.id), failed.born,
+                                    static_cast<std::uint32_t>(report.age.count()), report.request.caller);
     });
     return fbs::CreateRunReports(out, out.CreateVector(reports)).Union();
 }
@@ -248,7 +248,7 @@
     return fbs::CreateRelayedRequest(out, value.id, address, endpoint, attempt, method, host, target, headers, body,
                                      static_cast<std::uint32_t>(std::max<std::int64_t>(request.remaining.count(), 0)),
                                      request.priority.has_value(), request.priority.value_or(0), request.endpointBorn,
-                                     request.content)
+                                     request.identity.content, request.identity.caller)
         .Union();
 }
 
--- a/src/peers/internal/peer_messages_generated.h
+++ b/src/peers/internal/peer_messages_generated.h
@@ -1914,7 +1914,8 @@
     VT_REQUEST = 4,
     VT_ENDPOINT = 6,
     VT_BORN = 8,
-    VT_AGE_MS = 10
+    VT_AGE_MS = 10,
+    VT_CALLER = 12
   };
   uint64_t request() const {
     return GetField<uint64_t>(VT_REQUEST, 0);
@@ -1928,6 +1929,9 @@
   uint32_t age_ms() const {
     return GetField<uint32_t>(VT_AGE_MS, 0);
   }
+  uint64_t caller() const {
+    return GetField<uint64_t>(VT_CALLER, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
@@ -1935,6 +1939,7 @@
            verifier.VerifyString(endpoint()) &&
            VerifyField<uint64_t>(verifier, VT_BORN, 8) &&
            VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_CALLER, 8) &&
            verifier.EndTable();
   }
 };
@@ -1955,6 +1960,9 @@
   void add_age_ms(uint32_t age_ms) {
     fbb_.AddElement<uint32_t>(RunReport::VT_AGE_MS, age_ms, 0);
   }
+  void add_caller(uint64_t caller) {
+    fbb_.AddElement<uint64_t>(RunReport::VT_CALLER, caller, 0);
+  }
   explicit RunReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1972,8 +1980,10 @@
     uint64_t request = 0,
     flatbuffers::Offset<flatbuffers::String> endpoint = 0,
     uint64_t born = 0,
-    uint32_t age_ms = 0) {
+    uint32_t age_ms = 0,
+    uint64_t caller = 0) {
   RunReportBuilder builder_(_fbb);
+  builder_.add_caller(caller);
   builder_.add_born(born);
   builder_.add_request(request);
   builder_.add_age_ms(age_ms);
@@ -1986,14 +1996,16 @@
     uint64_t request = 0,
     const char *endpoint = nullptr,
     uint64_t born = 0,
-    uint32_t age_ms = 0) {
+    uint32_t age_ms = 0,
+    uint64_t caller = 0) {
   auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
   return jackdawpick::peers::fbs::CreateRunReport(
       _fbb,
       request,
       endpoint__,
       born,
-      age_ms);
+      age_ms,
+      caller);
 }
 
 struct RunReports FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2269,7 +2281,8 @@
     VT_HAS_PRIORITY = 24,
     VT_PRIORITY = 26,
     VT_ENDPOINT_BORN = 28,
-    VT_CONTENT = 30
+    VT_CONTENT = 30,
+    VT_CALLER = 32
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -2313,6 +2326,9 @@
   uint64_t content() const {
     return GetField<uint64_t>(VT_CONTENT, 0);
   }
+  uint64_t caller() const {
+    return GetField<uint64_t>(VT_CALLER, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -2338,6 +2354,7 @@
            VerifyField<int32_t>(verifier, VT_PRIORITY, 4) &&
            VerifyField<uint64_t>(verifier, VT_ENDPOINT_BORN, 8) &&
            VerifyField<uint64_t>(verifier, VT_CONTENT, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CALLER, 8) &&
            verifier.EndTable();
   }
 };
@@ -2388,6 +2405,9 @@
   void add_content(uint64_t content) {
     fbb_.AddElement<uint64_t>(RelayedRequest::VT_CONTENT, content, 0);
   }
+  void add_caller(uint64_t caller) {
+    fbb_.AddElement<uint64_t>(RelayedRequest::VT_CALLER, caller, 0);
+  }
   explicit RelayedRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2422,8 +2442,10 @@
     bool has_priority = false,
     int32_t priority = 0,
     uint64_t endpoint_born = 0,
-    uint64_t content = 0) {
+    uint64_t content = 0,
+    uint64_t caller = 0) {
   RelayedRequestBuilder builder_(_fbb);
+  builder_.add_caller(caller);
   builder_.add_content(content);
   builder_.add_endpoint_born(endpoint_born);
   builder_.add_id(id);
@@ -2456,7 +2478,8 @@
     bool has_priority = false,
     int32_t priority = 0,
     uint64_t endpoint_born = 0,
-    uint64_t content = 0) {
+    uint64_t content = 0,
+    uint64_t caller = 0) {
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
   auto attempt__ = attempt ? _fbb.CreateString(attempt) : 0;
@@ -2480,7 +2503,8 @@
       has_priority,
       priority,
       endpoint_born,
-      content);
+      content,
+      caller);
 }
 
 struct RelayedHead FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
