Do not take the end of a connection for a proof that a request is harmless

The users saw N sends and N crashes of a request under which three endpoints had ended. Cause: of a response without a length the end of the connection is the end of the response, and http_client reports it as complete; onResponseComplete then withdrew all failures of the request at every daemon and in the store. An endpoint that sends its head and dies with an orderly close did just that. Class: a missing signal is read as the strongest one.

Such an end now proves nothing unless the response holds all tokens asked for. It counts as a crash once its endpoint is found gone within 6 s, and as a success if the endpoint lives on, which frees a sound request whose responses always end so. Daemons tell each other these ends, at most one message a heartbeat, and one to which the same request comes again connects to the endpoints to see whether they are alive; the request does not wait for it. A relaying daemon counts them too. Room for 4,096 requests with an unknown outcome in place of 512, and a log line if some are forgotten.

Ruled out: blocking on such ends alone (a sound request that ends so on three endpoints would be refused).

--- a/src/crashes/crashes.cc
+++ b/src/crashes/crashes.cc
@@ -131,23 +131,59 @@
     return isNew;
 }
 
-void crash_tracker::onOutcomeUnknown(const request_identity &request, const endpoint_incarnation &endpoint,
-                                     time_point now)
+void crash_tracker::addSuspicion(suspicion added)
 {
     if (m_suspicions.size() >= maxSuspicions) {
         m_suspicions.pop_front();
+        ++m_droppedSuspicions;
     }
-    m_suspicions.push_back({.request = request, .endpoint = endpoint, .at = now});
+    m_suspicions.push_back(std::move(added));
+}
+
+void crash_tracker::onOutcomeUnknown(const request_identity &request, const endpoint_incarnation &endpoint,
+                                     time_point now)
+{
+    addSuspicion({.request = request, .endpoint = endpoint, .at = now});
+}
+
+void crash_tracker::onUnprovenEnd(const request_identity &request, const endpoint_incarnation &endpoint, time_point now)
+{
+    addSuspicion({.request = request, .endpoint = endpoint, .at = now, .kind = suspicion_kind::UnprovenEnd});
+    m_unprovenEnds.push_back({.request = request, .endpoint = endpoint});
+}
+
+void crash_tracker::onUnprovenReport(const unproven_end &report, time_point now)
+{
+    addSuspicion({.request = report.request,
+                  .endpoint = report.endpoint,
+                  .at = now - report.age,
+                  .kind = suspicion_kind::ReportedEnd});
+}
+
+std::vector<unproven_end> crash_tracker::takeUnprovenEnds()
+{
+    return std::exchange(m_unprovenEnds, {});
+}
+
+std::size_t crash_tracker::takeDroppedSuspicions()
+{
+    return std::exchange(m_droppedSuspicions, 0);
 }
 
-std::vector<std::uint64_t> crash_tracker::onEndpointGone(const std::string &id, time_point now)
+std::vector<std::uint64_t> crash_tracker::onEndpointGone(const std::string &id, gone_evidence evidence, time_point now)
 {
     std::vector<std::uint64_t> counted;
     std::erase_if(m_suspicions, [&](const suspicion &entry) {
         if (entry.endpoint.id != id) {
             return false;
         }
-        if (now - entry.at < suspicionTime && onEndpointFailed(entry.request, entry.endpoint, now)) {
+        // The daemon that has seen the end reads the same listing and reports the failure itself.
+        const bool isReportedElsewhere =
+            entry.kind == suspicion_kind::ReportedEnd && evidence == gone_evidence::Listing;
+        const bool counts = now - entry.at < suspicionTime
+            && (isReportedElsewhere ? recordFailure(entry.request, entry.endpoint, now)
+                                    : onEndpointFailed(entry.request, entry.endpoint, now));
+        if (counts) {
             counted.push_back(entry.request.content);
         }
         return true;
@@ -155,6 +191,18 @@
     return counted;
 }
 
+std::vector<endpoint_incarnation> crash_tracker::takeUnverified(std::uint64_t content)
+{
+    std::set<endpoint_incarnation> endpoints;
+    for (auto &entry : m_suspicions) {
+        const bool isUnproven = entry.kind != suspicion_kind::NoResponse && entry.request.content == content;
+        if (isUnproven && !std::exchange(entry.verified, true)) {
+            endpoints.insert(entry.endpoint);
+        }
+    }
+    return {endpoints.begin(), endpoints.end()};
+}
+
 std::set<std::string> crash_tracker::suspectedEndpoints() const
 {
     std::set<std::string> ids;
@@ -165,9 +213,14 @@
 
 bool crash_tracker::onCompleted(const request_identity &request, time_point now)
 {
-    const bool withdrawn = recordCompletion(request, now);
+    return recordAndReportCompletion(request, now, now);
+}
+
+bool crash_tracker::recordAndReportCompletion(const request_identity &request, time_point at, time_point now)
+{
+    const bool withdrawn = recordCompletion(request, at);
     if (withdrawn) {
-        m_reports.push_back({.request = request, .failed = std::nullopt});
+        m_reports.push_back({.request = request, .failed = std::nullopt, .age = millisecondsBetween(at, now)});
     }
     return withdrawn;
 }
@@ -274,8 +327,22 @@
     return found != m_requests.end() && found->second.storedFailures > 0;
 }
 
-std::vector<std::uint64_t> crash_tracker::evictExpired(time_point now)
+void crash_tracker::expireSuspicions(time_point now, const std::function<bool(const endpoint_incarnation &)> &isAlive)
 {
+    // Not in the order of their times: reported ones are older than those that were added before them.
+    std::erase_if(m_suspicions, [&](const suspicion &entry) {
+        const bool expired = now - entry.at >= suspicionTime;
+        if (expired && entry.kind == suspicion_kind::UnprovenEnd && isAlive(entry.endpoint)) {
+            recordAndReportCompletion(entry.request, entry.at, now);
+        }
+        return expired;
+    });
+}
+
+std::vector<std::uint64_t> crash_tracker::evictExpired(time_point now,
+                                                       const std::function<bool(const endpoint_incarnation &)> &isAlive)
+{
+    expireSuspicions(now, isAlive);
     std::vector<std::uint64_t> stored;
     std::erase_if(m_requests, [&](const auto &item) {
         const bool expired = isExpired(item.second, now);
@@ -287,9 +354,6 @@
         }
         return expired;
     });
-    while (!m_suspicions.empty() && now - m_suspicions.front().at >= suspicionTime) {
-        m_suspicions.pop_front();
-    }
     return stored;
 }
 
--- a/src/crashes/crashes.h
+++ b/src/crashes/crashes.h
@@ -8,7 +8,9 @@
 //   if (crashes.isBlocked(request, now)) { ... }                  // several failed and none completed the request
 //
 // A request is known by its content, since a later attempt may come under another program. A success proves that the
-// request of its own caller does no harm; the failures of others still count for them. No I/O; thread-compatible.
+// request of its own caller does no harm; the failures of others still count for them. The end of a response that only
+// the end of its connection shows is no proof: it counts as a failure if its endpoint is found gone soon afterwards,
+// and as a success if the endpoint lives on. No I/O; thread-compatible.
 
 #include "clock/clock.h"
 #include "endpoint_calls/endpoint_calls.h"
@@ -17,6 +19,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -38,6 +41,21 @@
     bool operator==(const run_report &) const = default;
 };
 
+// A response that is whole, or cut off by a crash of its endpoint.
+struct unproven_end
+{
+    request_identity request;
+    endpoint_incarnation endpoint;
+    std::chrono::milliseconds age{0};
+    bool operator==(const unproven_end &) const = default;
+};
+
+// What shows that an endpoint has ended.
+enum class gone_evidence : std::uint8_t {
+    Listing, // The store, which all daemons read.
+    Connection, // An attempt to connect by this daemon.
+};
+
 // A request that is blocked from now on, or no more.
 struct block_change
 {
@@ -62,7 +80,7 @@
     // How long after a request has ended without a response the loss of its endpoint is put down to it. Endpoints that
     // fall silent are removed from the store after several missed heartbeats.
     static constexpr std::chrono::seconds suspicionTime{6};
-    static constexpr std::size_t maxSuspicions = 512;
+    static constexpr std::size_t maxSuspicions = 4096;
     // When full, a request that is not blocked is evicted first: the one with the fewest and oldest failures.
     static constexpr std::size_t maxRequests = 1024;
     // Callers whose latest success is kept for each request.
@@ -73,9 +91,16 @@
     bool onEndpointFailed(const request_identity &request, const endpoint_incarnation &endpoint, time_point now);
     // The request was sent, and this daemon stopped waiting for its response.
     void onOutcomeUnknown(const request_identity &request, const endpoint_incarnation &endpoint, time_point now);
+    // A success has ended, and the end does not prove that it is whole. Queued for the other daemons, which verify the
+    // endpoint if the request comes to them.
+    void onUnprovenEnd(const request_identity &request, const endpoint_incarnation &endpoint, time_point now);
+    // The same as seen by another daemon.
+    void onUnprovenReport(const unproven_end &report, time_point now);
     // The endpoint has ended or cannot be reached. Counts as a failure of the requests whose outcome is not known, and
     // returns their contents.
-    std::vector<std::uint64_t> onEndpointGone(const std::string &id, time_point now);
+    std::vector<std::uint64_t> onEndpointGone(const std::string &id, gone_evidence evidence, time_point now);
+    // Endpoints with unproven ends of the content that were not returned before, to find out whether they are alive.
+    [[nodiscard]] std::vector<endpoint_incarnation> takeUnverified(std::uint64_t content);
     // Ids of endpoints with requests whose outcome is not known.
     [[nodiscard]] std::set<std::string> suspectedEndpoints() const;
     // The endpoint has run the request to its end. Returns true if failures are thereby withdrawn.
@@ -87,6 +112,8 @@
     [[nodiscard]] std::size_t blockedCount(time_point now) const;
     // Removes and returns the queued reports to the other daemons.
     [[nodiscard]] std::vector<run_report> takeReports();
+    // Removes and returns the queued unproven ends.
+    [[nodiscard]] std::vector<unproven_end> takeUnprovenEnds();
     // Removes and returns the requests that have been blocked or released since the last call.
     [[nodiscard]] std::vector<block_change> takeChanges();
     // All that is known, for a daemon that may know nothing.
@@ -100,9 +127,13 @@
     // Whether the store has a record of the request.
     [[nodiscard]] bool isStored(std::uint64_t content) const;
 
-    // Returns the contents that were forgotten and have a record in the store.
-    std::vector<std::uint64_t> evictExpired(time_point now);
+    // Returns the contents that were forgotten and have a record in the store. An unproven end becomes a success if its
+    // endpoint is still alive after suspicionTime; `isAlive` is false if that is not known.
+    std::vector<std::uint64_t> evictExpired(time_point now,
+                                            const std::function<bool(const endpoint_incarnation &)> &isAlive);
     [[nodiscard]] std::size_t size() const;
+    // Requests with an unknown outcome that were forgotten for lack of room since the last call.
+    [[nodiscard]] std::size_t takeDroppedSuspicions();
 
 private:
     struct failure
@@ -121,13 +152,25 @@
         bool reportedBlocked = false; // As of the last call of takeChanges().
     };
 
+    enum class suspicion_kind : std::uint8_t {
+        NoResponse,
+        UnprovenEnd,
+        ReportedEnd, // An unproven end that another daemon has seen.
+    };
+
     struct suspicion
     {
         request_identity request;
         endpoint_incarnation endpoint;
         time_point at;
+        suspicion_kind kind = suspicion_kind::NoResponse;
+        bool verified = false; // Returned by takeUnverified().
     };
 
+    void addSuspicion(suspicion added);
+    void expireSuspicions(time_point now, const std::function<bool(const endpoint_incarnation &)> &isAlive);
+    bool recordAndReportCompletion(const request_identity &request, time_point at, time_point now);
+
     bool recordFailure(const request_identity &request, const endpoint_incarnation &endpoint, time_point at);
     bool recordCompletion(const request_identity &request, time_point at);
     void noteChange(std::uint64_t content, const request_failures &value);
@@ -146,7 +189,9 @@
 
     std::map<std::uint64_t, request_failures> m_requests; // By content.
     std::deque<suspicion> m_suspicions; // Oldest first.
+    std::size_t m_droppedSuspicions = 0;
     std::vector<run_report> m_reports;
+    std::vector<unproven_end> m_unprovenEnds; // Not yet taken.
     std::set<std::uint64_t> m_changed; // Requests that takeChanges() looks at.
     std::set<std::uint64_t> m_unstored;
 };
--- a/src/crashes/crashes_test.cc
+++ b/src/crashes/crashes_test.cc
@@ -21,6 +21,16 @@
         }
     }
 
+    static bool isGone(const endpoint_incarnation & /*endpoint*/)
+    {
+        return false;
+    }
+
+    static bool isAlive(const endpoint_incarnation & /*endpoint*/)
+    {
+        return true;
+    }
+
     manual_clock clock;
     crash_tracker local;
 };
@@ -40,10 +50,10 @@
     failEndpoints(local, 8, 2);
     clock.advance(crash_tracker::retention);
     EXPECT_FALSE(local.isBlocked({7}, clock.now()));
-    local.evictExpired(clock.now());
+    local.evictExpired(clock.now(), isGone);
     EXPECT_EQ(local.size(), 1U);
     clock.advance(crash_tracker::blockedRetention);
-    local.evictExpired(clock.now());
+    local.evictExpired(clock.now(), isGone);
     EXPECT_EQ(local.size(), 0U);
 }
 
@@ -150,11 +160,87 @@
     local.onOutcomeUnknown({7}, {"silent", 1}, clock.now());
     local.onOutcomeUnknown({8}, {"other", 1}, clock.now());
     EXPECT_FALSE(local.isBlocked({7}, clock.now()));
-    EXPECT_EQ(local.onEndpointGone("silent", clock.now()), std::vector<std::uint64_t>{7});
+    EXPECT_EQ(local.onEndpointGone("silent", gone_evidence::Listing, clock.now()), std::vector<std::uint64_t>{7});
     EXPECT_TRUE(local.isBlocked({7}, clock.now()));
     EXPECT_EQ(local.suspectedEndpoints(), std::set<std::string>{"other"});
     clock.advance(crash_tracker::suspicionTime);
-    EXPECT_TRUE(local.onEndpointGone("other", clock.now()).empty());
+    EXPECT_TRUE(local.onEndpointGone("other", gone_evidence::Listing, clock.now()).empty());
+}
+
+// Guards against a crash that ends a response in order and withdraws the failures that are known.
+TEST_F(crashes_test, UnprovenEndIsNoSuccessWhileItsEndpointMayBeGone)
+{
+    failEndpoints(local, 7, 2);
+    local.onUnprovenEnd({7}, {"ended", 1}, clock.now());
+    EXPECT_EQ(local.onEndpointGone("ended", gone_evidence::Listing, clock.now()), std::vector<std::uint64_t>{7});
+    EXPECT_TRUE(local.isBlocked({7}, clock.now()));
+}
+
+// Guards against a sound request whose responses always end with their connection and that is never freed.
+TEST_F(crashes_test, UnprovenEndIsASuccessIfItsEndpointLivesOn)
+{
+    failEndpoints(local, 7, 2);
+    clock.advance(1ms);
+    local.onUnprovenEnd({7}, {"ended", 1}, clock.now());
+    (void)local.takeReports();
+    clock.advance(crash_tracker::suspicionTime);
+    failEndpoints(local, 7, 1, 2);
+    local.evictExpired(clock.now(), isAlive);
+    EXPECT_FALSE(local.isBlocked({7}, clock.now()));
+    failEndpoints(local, 7, 1, 3);
+    EXPECT_FALSE(local.isBlocked({7}, clock.now()));
+    failEndpoints(local, 7, 1, 4); // Later than the response: these three count.
+    EXPECT_TRUE(local.isBlocked({7}, clock.now()));
+}
+
+// Guards against daemons that each see one end and never ask whether the endpoints of the others are alive.
+TEST_F(crashes_test, ReportedEndIsVerifiedOnceWhenTheRequestComesAgain)
+{
+    crash_tracker remote;
+    local.onUnprovenEnd({7}, {"ended", 1}, clock.now());
+    for (const auto &end : local.takeUnprovenEnds()) {
+        remote.onUnprovenReport(end, clock.now());
+    }
+    EXPECT_TRUE(remote.takeUnverified(8).empty());
+    EXPECT_EQ(remote.takeUnverified(7), (std::vector<endpoint_incarnation>{{"ended", 1}}));
+    EXPECT_TRUE(remote.takeUnverified(7).empty());
+    EXPECT_FALSE(remote.onEndpointGone("ended", gone_evidence::Connection, clock.now()).empty());
+    EXPECT_EQ(remote.takeReports().size(), 1U);
+}
+
+// Guards against as many reports of one failure as there are daemons that read the listing.
+TEST_F(crashes_test, ListingMakesOnlyTheDaemonThatSawTheEndReport)
+{
+    crash_tracker remote;
+    remote.onUnprovenReport({.request = {7}, .endpoint = {"ended", 1}}, clock.now());
+    EXPECT_FALSE(remote.onEndpointGone("ended", gone_evidence::Listing, clock.now()).empty());
+    EXPECT_TRUE(remote.takeReports().empty());
+}
+
+// Guards against a success of another caller that withdraws the failures of a request with the same content.
+TEST_F(crashes_test, SuccessFreesItsOwnCallerOnly)
+{
+    for (int i = 0; i < 2; ++i) {
+        local.onEndpointFailed({7, 1}, {fmt::format("e{}", i), 1}, clock.now());
+    }
+    clock.advance(1ms);
+    local.onCompleted({7, 2}, clock.now());
+    clock.advance(1ms);
+    local.onEndpointFailed({7, 1}, {"e2", 1}, clock.now());
+    EXPECT_TRUE(local.isBlocked({7, 1}, clock.now()));
+    EXPECT_FALSE(local.isBlocked({7, 2}, clock.now()));
+    EXPECT_FALSE(local.isBlocked({7, 3}, clock.now())); // One failure since a success.
+}
+
+// Guards against memory use that grows with the number of requests whose outcome is not known, and against losing some
+// without saying so.
+TEST_F(crashes_test, NumberOfSuspicionsIsBounded)
+{
+    for (std::size_t i = 0; i < crash_tracker::maxSuspicions + 3; ++i) {
+        local.onOutcomeUnknown({i}, {"e", 1}, clock.now());
+    }
+    EXPECT_EQ(local.takeDroppedSuspicions(), 3U);
+    EXPECT_EQ(local.takeDroppedSuspicions(), 0U);
 }
 
 // Guards against a request that is written to the store for a single failure, or again and again.
--- a/src/fleet/endpoint_pool.cc
+++ b/src/fleet/endpoint_pool.cc
@@ -261,6 +261,13 @@
     return found == m_endpoints.end() ? std::nullopt : std::optional(found->second.entry.born);
 }
 
+std::optional<std::string> endpoint_pool::addressOf(const endpoint_incarnation &target) const
+{
+    const auto found = m_endpoints.find(target.id);
+    const bool isListed = found != m_endpoints.end() && found->second.entry.born == target.born;
+    return isListed ? std::optional(found->second.entry.address) : std::nullopt;
+}
+
 bool endpoint_pool::isUsable(const endpoint &value, time_point now) const
 {
     const auto &entry = value.entry;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -183,6 +183,8 @@
     [[nodiscard]] bool takesRequests(const endpoint_incarnation &target, time_point now) const;
     // When the endpoint started, as in endpoint_entry; nothing if it is not known.
     [[nodiscard]] std::optional<std::uint64_t> bornOf(const std::string &id) const;
+    // The address of this start of the endpoint; nothing if it is not listed.
+    [[nodiscard]] std::optional<std::string> addressOf(const endpoint_incarnation &target) const;
 
 private:
     struct endpoint
--- a/src/gateway/crash_reports.cc
+++ b/src/gateway/crash_reports.cc
@@ -54,7 +54,7 @@
     const bool hasPath = context.relay.has_value() || !m_paths.isCutOff();
     if (outcome == dispatch_outcome::NotSent) {
         if (where == failure_site::Endpoint && !context.relay.has_value() && hasPath) {
-            noteEndpointGone(context.endpoint, now);
+            noteEndpointGone(context.endpoint, crashes::gone_evidence::Connection, now);
         }
     } else if (where == failure_site::Path || outcome == dispatch_outcome::TimedOut || !hasPath) {
         noteOutcomeUnknown(context, now);
@@ -65,9 +65,32 @@
     }
 }
 
-void gateway::implementation::noteEndpointGone(const std::string &endpoint, time_point now)
+// Only the length of a response, its chunks or the number of its tokens prove that it is whole.
+void gateway::implementation::noteRunEnd(const request_context &context, time_point now)
 {
-    for (const auto content : m_crashes.onEndpointGone(endpoint, now)) {
+    const bool isSuccess = context.status / 100 == 2; // An error may have been decided before the request was run.
+    const bool endsInsideEvent = context.eventStream && context.eventSplitter.isInsideEvent();
+    if (!endsInsideEvent && (!context.endsWithConnection || holdsAllTokens(context))) {
+        if (isSuccess) {
+            m_crashes.onCompleted(context.identity, now);
+        }
+    } else if (isSuccess) {
+        m_crashes.onUnprovenEnd(context.identity, {context.endpoint, context.endpointBorn}, now);
+    } else {
+        noteOutcomeUnknown(context, now);
+    }
+}
+
+bool gateway::implementation::holdsAllTokens(const request_context &context) const
+{
+    return context.eventStream && context.request.maxOutputTokens > 0
+        && tokensDelivered(context) >= context.request.maxOutputTokens;
+}
+
+void gateway::implementation::noteEndpointGone(const std::string &endpoint, crashes::gone_evidence evidence,
+                                               time_point now)
+{
+    for (const auto content : m_crashes.onEndpointGone(endpoint, evidence, now)) {
         log(log_level::Warning, "endpoint_broke", {{"endpoint", endpoint}, {"content", content}, {"gone", true}});
     }
 }
@@ -77,21 +100,67 @@
 {
     for (const auto &endpoint : m_crashes.suspectedEndpoints()) {
         if (!listed.contains(endpoint)) {
-            noteEndpointGone(endpoint, now);
+            noteEndpointGone(endpoint, crashes::gone_evidence::Listing, now);
         }
     }
 }
 
+// ---- Ends of responses that prove nothing ----
+
+// The request that has come again does not wait: an endpoint that does not answer would cost it its time.
+void gateway::implementation::verifyUnprovenEnds(const request_context &context, time_point now)
+{
+    if (m_paths.isCutOff()) {
+        return;
+    }
+    for (const auto &endpoint : m_crashes.takeUnverified(context.identity.content)) {
+        if (const auto address = m_pool.addressOf(endpoint); address.has_value()) {
+            logRequest(log_level::Info, "endpoint_verified", context,
+                       {{"endpoint", endpoint.id}, {"content", context.identity.content}}, now);
+            m_verifications.emplace(probe_id{++m_lastProbe}, endpoint);
+            m_effects.emplace_back(probe_endpoint{probe_id{m_lastProbe}, *address});
+        }
+    }
+}
+
+void gateway::implementation::onEndpointVerified(const endpoint_calls::endpoint_incarnation &endpoint, bool reached,
+                                                 time_point now)
+{
+    if (!reached && !m_paths.isCutOff()) {
+        noteEndpointGone(endpoint.id, crashes::gone_evidence::Connection, now);
+    }
+}
+
+bool gateway::implementation::isKnownAlive(const endpoint_calls::endpoint_incarnation &endpoint, time_point now) const
+{
+    const auto &paths = m_store.paths();
+    return m_pool.addressOf(endpoint).has_value() && paths.isDirectPathUp(now)
+        && !paths.wasDownWithin(2 * crashes::crash_tracker::suspicionTime, now);
+}
+
+// At most one message for each heartbeat, since on some days every third response ends so.
+void gateway::implementation::sendUnprovenEnds(time_point now)
+{
+    if (now < m_unprovenReportAt) {
+        return;
+    }
+    if (auto ends = m_crashes.takeUnprovenEnds(); !ends.empty()) {
+        m_unprovenReportAt = now + m_peers.heartbeatInterval();
+        m_peers.broadcast(peers::run_reports{.reports = {}, .unproven = std::move(ends)}, m_effects);
+    }
+}
+
 void gateway::implementation::sendKnownCrashes(link_id link, time_point now)
 {
     if (auto reports = m_crashes.allReports(now); !reports.empty()) {
-        m_effects.emplace_back(send_message{link, peers::run_reports{std::move(reports)}});
+        m_effects.emplace_back(send_message{link, peers::run_reports{std::move(reports), {}}});
     }
 }
 
 void gateway::implementation::on(link_id link, const peers::run_reports &message, time_point now)
 {
     applyRunReports(message.reports, m_peers.nameOf(link), now);
+    std::ranges::for_each(message.unproven, [&](const auto &end) { m_crashes.onUnprovenReport(end, now); });
 }
 
 void gateway::implementation::applyRunReports(const std::vector<crashes::run_report> &reports,
@@ -118,8 +187,9 @@
                 writeCrashRecord(report.request.content, {}, now);
             }
         }
-        m_peers.broadcast(peers::run_reports{std::move(reports)}, m_effects);
+        m_peers.broadcast(peers::run_reports{std::move(reports), {}}, m_effects);
     }
+    sendUnprovenEnds(now);
     writeDueCrashRecords(now);
 }
 
@@ -162,7 +232,8 @@
         }
         if (due->second <= now) {
             due->second = now + crashWriteRetryDelay;
-            writeCrashRecord(content, peers::encodeMessage(peers::run_reports{m_crashes.reportsOf(content, now)}), now);
+            writeCrashRecord(content, peers::encodeMessage(peers::run_reports{m_crashes.reportsOf(content, now), {}}),
+                             now);
         }
     }
 }
@@ -204,11 +275,17 @@
 // Called by all daemons at about the same time, since they have known of the request for the same time.
 void gateway::implementation::evictCrashes(time_point now)
 {
-    for (const auto content : m_crashes.evictExpired(now)) {
+    const auto isAlive = [&](const auto &endpoint) {
+        return isKnownAlive(endpoint, now);
+    };
+    for (const auto content : m_crashes.evictExpired(now, isAlive)) {
         if (firstDaemon(crashRecordKey(content), now) == m_options.self.name) {
             writeCrashRecord(content, {}, now);
         }
     }
+    if (const auto dropped = m_crashes.takeDroppedSuspicions(); dropped > 0) {
+        log(log_level::Warning, "unknown_outcomes_dropped", {{"requests", dropped}});
+    }
 }
 
 } // namespace jackdawpick::gateway
--- a/src/gateway/dispatching.cc
+++ b/src/gateway/dispatching.cc
@@ -92,6 +92,7 @@
     if (refuseIfBlocked(context, now)) {
         return;
     }
+    verifyUnprovenEnds(context, now);
     const auto remaining = millisecondsBetween(now, context.deadline);
     if (remaining < minDispatchTime) {
         refuseRequest(context, result_code::DeadlineBeforeDispatch, std::nullopt, now);
@@ -328,9 +329,7 @@
 void gateway::implementation::onResponseComplete(request_context &context, time_point now)
 {
     releaseEndpoint(context, fleet::request_outcome::Answered, now);
-    if (context.status / 100 == 2) { // An error may have been decided before the request was run.
-        m_crashes.onCompleted(context.identity, now);
-    }
+    noteRunEnd(context, now);
     if (context.bufferedHead.has_value()) {
         m_effects.emplace_back(start_response{context.id, context.bufferedHead->status, context.bufferedHead->headers,
                                               context.bufferedHead->contentLength});
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -253,6 +253,7 @@
         endpoint_calls::endpoint_incarnation endpoint;
         endpoint_calls::request_identity identity;
         std::size_t bytes = 0; // Of the response, passed on so far.
+        bool endsWithConnection = false; // As in endpoint_head.
     };
 
     [[nodiscard]] bool needsRelay(const request_context &context) const;
@@ -283,7 +284,16 @@
     void on(link_id link, const peers::run_reports &message, time_point now);
     void noteRunFailure(const request_context &context, dispatch_outcome outcome, failure_site where, time_point now);
     void noteOutcomeUnknown(const request_context &context, time_point now);
-    void noteEndpointGone(const std::string &endpoint, time_point now);
+    // A response has ended and was passed on.
+    void noteRunEnd(const request_context &context, time_point now);
+    [[nodiscard]] bool holdsAllTokens(const request_context &context) const;
+    void noteEndpointGone(const std::string &endpoint, crashes::gone_evidence evidence, time_point now);
+    // Asks whether the endpoints are alive that have ended responses to the same request with their connections.
+    void verifyUnprovenEnds(const request_context &context, time_point now);
+    void onEndpointVerified(const endpoint_calls::endpoint_incarnation &endpoint, bool reached, time_point now);
+    void sendUnprovenEnds(time_point now);
+    // Whether the endpoint is known to have been alive until now.
+    [[nodiscard]] bool isKnownAlive(const endpoint_calls::endpoint_incarnation &endpoint, time_point now) const;
     void noteUnlistedEndpoints(const std::set<std::string> &listed, time_point now);
     // Tells a peer that may have missed reports all that is known.
     void sendKnownCrashes(link_id link, time_point now);
@@ -343,6 +353,8 @@
     fleet::endpoint_pool m_pool;
     crashes::crash_tracker m_crashes;
     std::map<std::uint64_t, time_point> m_crashWriteAt; // Requests that are to be stored, and when by this daemon.
+    std::map<probe_id, endpoint_calls::endpoint_incarnation> m_verifications; // Probes of single endpoints.
+    time_point m_unprovenReportAt{};
     time_point m_crashCheckAt{};
     limits::limit_table m_limits;
     limits::permit_issuer m_permits;
--- a/src/gateway/platform_state.cc
+++ b/src/gateway/platform_state.cc
@@ -350,7 +350,7 @@
         if (record.value.empty()) {
             m_pool.remove(record.key, mayHaveExpired, now);
             if (!mayHaveExpired) {
-                noteEndpointGone(record.key, now);
+                noteEndpointGone(record.key, crashes::gone_evidence::Listing, now);
             }
             log(log_level::Info, "endpoint_withdrawn",
                 {{"endpoint", record.key}, {"offset", record.offset}, {"may_have_lapsed", mayHaveExpired}});
@@ -362,7 +362,7 @@
             continue;
         }
         if (m_pool.bornOf(entry->id).value_or(entry->born) != entry->born) {
-            noteEndpointGone(entry->id, now);
+            noteEndpointGone(entry->id, crashes::gone_evidence::Listing, now);
         }
         const bool isChanged = m_pool.upsert(*entry, now);
         m_pool.setRateLimit(entry->id, m_limits.rateOf(entry->id));
--- a/src/gateway/relaying.cc
+++ b/src/gateway/relaying.cc
@@ -68,6 +68,10 @@
 
 void gateway::implementation::on(const probe_finished &received, time_point now)
 {
+    if (const auto node = m_verifications.extract(received.probe)) {
+        onEndpointVerified(node.mapped(), received.reached, now);
+        return;
+    }
     const auto change = m_paths.onProbeFinished(received.reached, now);
     if (change == reachability::path_change::None) {
         return;
@@ -234,6 +238,7 @@
 {
     if (const auto found = m_relayed.find(received.dispatch); found != m_relayed.end()) {
         m_lastHeardAt = now;
+        found->second.endsWithConnection = received.head.endsWithConnection;
         noteLeaving(found->second.endpoint, received.head, now);
         m_effects.emplace_back(
             send_message{found->second.link, peers::relayed_head{found->second.request, std::move(received.head)}});
@@ -263,12 +268,12 @@
     if (found == m_relayed.end()) {
         return;
     }
-    const auto &[link, request, endpoint, identity, bytes] = found->second;
+    const auto &[link, request, endpoint, identity, bytes, endsWithConnection] = found->second;
     if (received.outcome == dispatch_outcome::NotSent) {
         m_paths.onConnectFailed(endpoint.id, now);
     } else if (received.outcome == dispatch_outcome::Lost && !m_paths.isCutOff()) {
         m_crashes.onEndpointFailed(identity, endpoint, now);
-    } else if (received.outcome != dispatch_outcome::Complete) {
+    } else if (received.outcome != dispatch_outcome::Complete || endsWithConnection) {
         m_crashes.onOutcomeUnknown(identity, endpoint, now);
     }
     m_lastRequestFinishedAt = now;
--- a/src/gateway/testing/gateway_world.h
+++ b/src/gateway/testing/gateway_world.h
@@ -227,6 +227,7 @@
     void on(int daemon, const cancel_dispatch &output);
     void on(int daemon, const probe_endpoint &output);
     [[nodiscard]] path_behaviour pathOf(int daemon) const;
+    [[nodiscard]] bool isDown(const std::string &address) const; // No endpoint listens there.
     void on(int daemon, const make_store_call &output);
     void on(int daemon, const open_link &output);
     void on(int daemon, const send_message &output);
--- a/src/gateway/testing/world_endpoints.cc
+++ b/src/gateway/testing/world_endpoints.cc
@@ -205,6 +205,13 @@
     });
 }
 
+bool gateway_world::isDown(const std::string &address) const
+{
+    return std::ranges::none_of(m_latestEndpoints, [&](const auto &item) {
+        return item.second.address == address && !m_downEndpoints.contains(item.first);
+    });
+}
+
 path_behaviour gateway_world::pathOf(int daemon) const
 {
     const auto found = endpointPaths.find(daemon);
@@ -216,7 +223,8 @@
     const int incarnation = m_daemons.at(static_cast<std::size_t>(daemon)).incarnation;
     const auto path = pathOf(daemon);
     schedule(path == path_behaviour::Hangs ? connectTimeout : endpointDelay, [=, this] {
-        deliver(daemon, incarnation, probe_finished{output.probe, path == path_behaviour::Open});
+        deliver(daemon, incarnation,
+                probe_finished{output.probe, path == path_behaviour::Open && !isDown(output.address)});
     });
 }
 
--- a/src/peers/decode_message.cc
+++ b/src/peers/decode_message.cc
@@ -57,6 +57,13 @@
         }
         return result;
     });
+    if (body.unproven() != nullptr) {
+        std::ranges::transform(*body.unproven(), std::back_inserter(value.unproven), [](const auto *end) {
+            return crashes::unproven_end{.request = {end->request(), end->caller()},
+                                         .endpoint = {end->endpoint()->str(), end->born()},
+                                         .age = std::chrono::milliseconds(end->age_ms())};
+        });
+    }
     return value;
 }
 
--- a/src/peers/encode_message.cc
+++ b/src/peers/encode_message.cc
@@ -195,15 +195,23 @@
     return fbs::CreateTurnRequest(out, value.id, out.CreateString(value.turn)).Union();
 }
 
+auto encodeRun(buffer_builder &out, const endpoint_calls::request_identity &request,
+               const endpoint_calls::endpoint_incarnation &endpoint, std::chrono::milliseconds age)
+{
+    return fbs::CreateRunReport(out, request.content, out.CreateString(endpoint.id), endpoint.born,
+                                static_cast<std::uint32_t>(age.count()), request.caller);
+}
+
 body_offset encode(buffer_builder &out, const run_reports &value)
 {
     std::vector<flatbuffers::Offset<fbs::RunReport>> reports;
     std::ranges::transform(value.reports, std::back_inserter(reports), [&out](const auto &report) {
-        const auto failed = report.failed.value_or(crashes::endpoint_incarnation{});
-        return fbs::CreateRunReport(out, report.request.content, out.CreateString(failed.id), failed.born,
-                                    static_cast<std::uint32_t>(report.age.count()), report.request.caller);
+        return encodeRun(out, report.request, report.failed.value_or(crashes::endpoint_incarnation{}), report.age);
     });
-    return fbs::CreateRunReports(out, out.CreateVector(reports)).Union();
+    std::vector<flatbuffers::Offset<fbs::RunReport>> unproven;
+    std::ranges::transform(value.unproven, std::back_inserter(unproven),
+                           [&out](const auto &end) { return encodeRun(out, end.request, end.endpoint, end.age); });
+    return fbs::CreateRunReports(out, out.CreateVector(reports), out.CreateVector(unproven)).Union();
 }
 
 body_offset encode(buffer_builder &out, const turn_mark &value)
--- a/src/peers/internal/peer_messages_generated.h
+++ b/src/peers/internal/peer_messages_generated.h
@@ -2011,16 +2011,23 @@
 struct RunReports FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef RunReportsBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_REPORTS = 4
+    VT_REPORTS = 4,
+    VT_UNPROVEN = 6
   };
   const flatbuffers::Vector<flatbuffers::Offset<jackdawpick::peers::fbs::RunReport>> *reports() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<jackdawpick::peers::fbs::RunReport>> *>(VT_REPORTS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<jackdawpick::peers::fbs::RunReport>> *unproven() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<jackdawpick::peers::fbs::RunReport>> *>(VT_UNPROVEN);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_REPORTS) &&
            verifier.VerifyVector(reports()) &&
            verifier.VerifyVectorOfTables(reports()) &&
+           VerifyOffset(verifier, VT_UNPROVEN) &&
+           verifier.VerifyVector(unproven()) &&
+           verifier.VerifyVectorOfTables(unproven()) &&
            verifier.EndTable();
   }
 };
@@ -2032,6 +2039,9 @@
   void add_reports(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<jackdawpick::peers::fbs::RunReport>>> reports) {
     fbb_.AddOffset(RunReports::VT_REPORTS, reports);
   }
+  void add_unproven(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<jackdawpick::peers::fbs::RunReport>>> unproven) {
+    fbb_.AddOffset(RunReports::VT_UNPROVEN, unproven);
+  }
   explicit RunReportsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2046,19 +2056,24 @@
 
 inline flatbuffers::Offset<RunReports> CreateRunReports(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<jackdawpick::peers::fbs::RunReport>>> reports = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<jackdawpick::peers::fbs::RunReport>>> reports = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<jackdawpick::peers::fbs::RunReport>>> unproven = 0) {
   RunReportsBuilder builder_(_fbb);
+  builder_.add_unproven(unproven);
   builder_.add_reports(reports);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<RunReports> CreateRunReportsDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<flatbuffers::Offset<jackdawpick::peers::fbs::RunReport>> *reports = nullptr) {
+    const std::vector<flatbuffers::Offset<jackdawpick::peers::fbs::RunReport>> *reports = nullptr,
+    const std::vector<flatbuffers::Offset<jackdawpick::peers::fbs::RunReport>> *unproven = nullptr) {
   auto reports__ = reports ? _fbb.CreateVector<flatbuffers::Offset<jackdawpick::peers::fbs::RunReport>>(*reports) : 0;
+  auto unproven__ = unproven ? _fbb.CreateVector<flatbuffers::Offset<jackdawpick::peers::fbs::RunReport>>(*unproven) : 0;
   return jackdawpick::peers::fbs::CreateRunReports(
       _fbb,
-      reports__);
+      reports__,
+      unproven__);
 }
 
 struct PermitRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -116,11 +116,12 @@
     bool operator==(const turn_reply &) const = default;
 };
 
-// Reports endpoints that failed while running a request, and requests that were answered after such failures. Has no
-// reply.
+// Reports endpoints that failed while running a request, requests that were answered after such failures, and responses
+// whose end proves nothing. Has no reply.
 struct run_reports
 {
     std::vector<crashes::run_report> reports;
+    std::vector<crashes::unproven_end> unproven;
     bool operator==(const run_reports &) const = default;
 };
 
