Trust no success that an earlier build reports or stores

A success is now marked as proven in the report (a new field that earlier builds do not send) and ignored without it. In the store a success is written as a record; a deleted record is no success, and failures of the last half minute are written again.

--- a/src/crashes/crashes.cc
+++ b/src/crashes/crashes.cc
@@ -62,7 +62,7 @@
 {
     m_changed.insert(content);
     const auto needed = std::min(value.failed.size(), endpointsUntilBlocked);
-    if (needed >= endpointsUntilStored && value.storedFailures < needed) {
+    if (needed >= endpointsUntilStored && value.storedFailures.value_or(0) < needed) {
         m_unstored.insert(content);
     } else {
         m_unstored.erase(content);
@@ -321,10 +321,23 @@
     }
 }
 
+void crash_tracker::onRecordDeleted(std::uint64_t content, time_point now)
+{
+    const auto found = m_requests.find(content);
+    if (found == m_requests.end()) {
+        return;
+    }
+    found->second.storedFailures.reset();
+    noteChange(content, found->second);
+    if (now - found->second.latest > retention / 2) {
+        m_unstored.erase(content);
+    }
+}
+
 bool crash_tracker::isStored(std::uint64_t content) const
 {
     const auto found = m_requests.find(content);
-    return found != m_requests.end() && found->second.storedFailures > 0;
+    return found != m_requests.end() && found->second.storedFailures.has_value();
 }
 
 void crash_tracker::expireSuspicions(time_point now, const std::function<bool(const endpoint_incarnation &)> &isAlive)
@@ -346,7 +359,7 @@
     std::vector<std::uint64_t> stored;
     std::erase_if(m_requests, [&](const auto &item) {
         const bool expired = isExpired(item.second, now);
-        if (expired && item.second.storedFailures > 0) {
+        if (expired && item.second.storedFailures.has_value()) {
             stored.push_back(item.first);
         }
         if (expired) {
--- a/src/crashes/crashes.h
+++ b/src/crashes/crashes.h
@@ -122,8 +122,11 @@
     // Contents of requests whose failures are not all in the store.
     [[nodiscard]] const std::set<std::uint64_t> &unstored() const;
     [[nodiscard]] std::vector<run_report> reportsOf(std::uint64_t content, time_point now) const;
-    // The latest record of the request in the store holds this many failures; 0: there is none.
+    // The latest record of the request in the store holds this many failures.
     void onStored(std::uint64_t content, std::size_t failures);
+    // The store has no record of the request any more. That is no success: a daemon deletes what it considers old, and
+    // earlier builds after any response that ends. Recent failures are stored again.
+    void onRecordDeleted(std::uint64_t content, time_point now);
     // Whether the store has a record of the request.
     [[nodiscard]] bool isStored(std::uint64_t content) const;
 
@@ -148,7 +151,7 @@
         std::map<endpoint_incarnation, failure> failed;
         std::map<std::uint64_t, time_point> completed; // By caller.
         time_point latest{}; // Failure or completion.
-        std::size_t storedFailures = 0;
+        std::optional<std::size_t> storedFailures; // Unset if the store has no record.
         bool reportedBlocked = false; // As of the last call of takeChanges().
     };
 
--- a/src/gateway/crash_reports.cc
+++ b/src/gateway/crash_reports.cc
@@ -184,7 +184,7 @@
     if (auto reports = m_crashes.takeReports(); !reports.empty()) {
         for (const auto &report : reports) {
             if (!report.failed.has_value() && m_crashes.isStored(report.request.content)) {
-                writeCrashRecord(report.request.content, {}, now);
+                storeCrashes(report.request.content, now);
             }
         }
         m_peers.broadcast(peers::run_reports{std::move(reports), {}}, m_effects);
@@ -202,6 +202,11 @@
                    store::put_call{m_options.layout.daemons, crashRecordKey(content), std::move(value)}, now);
 }
 
+void gateway::implementation::storeCrashes(std::uint64_t content, time_point now)
+{
+    writeCrashRecord(content, peers::encodeMessage(peers::run_reports{m_crashes.reportsOf(content, now), {}}), now);
+}
+
 void gateway::implementation::complete(const internal::crash_record_owner & /*owner*/, const store::reply &result,
                                        time_point /*now*/)
 {
@@ -232,8 +237,7 @@
         }
         if (due->second <= now) {
             due->second = now + crashWriteRetryDelay;
-            writeCrashRecord(content, peers::encodeMessage(peers::run_reports{m_crashes.reportsOf(content, now), {}}),
-                             now);
+            storeCrashes(content, now);
         }
     }
 }
@@ -250,9 +254,7 @@
         return false;
     }
     if (record.value.empty()) {
-        // Its writer has seen a success, or the failures are too old to count.
-        applyRunReports({{.request = {*content}, .failed = std::nullopt}}, "store", now);
-        m_crashes.onStored(*content, 0);
+        m_crashes.onRecordDeleted(*content, now);
         return true;
     }
     auto message = peers::decodeMessage(record.value);
@@ -269,6 +271,9 @@
     m_crashes.onStored(*content,
                        static_cast<std::size_t>(std::ranges::count_if(
                            reports->reports, [](const auto &report) { return report.failed.has_value(); })));
+    if (m_crashes.reportsOf(*content, now).empty() && firstDaemon(record.key, now) == m_options.self.name) {
+        writeCrashRecord(*content, {}, now); // Of a success after which all daemons were started again.
+    }
     return true;
 }
 
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -302,6 +302,8 @@
     void tickCrashes(time_point now);
     // An empty value deletes the record.
     void writeCrashRecord(std::uint64_t content, std::string value, time_point now);
+    // Writes all that is known of the request.
+    void storeCrashes(std::uint64_t content, time_point now);
     void writeDueCrashRecords(time_point now);
     [[nodiscard]] std::optional<time_point> nextCrashWrite() const;
     // Returns whether the record, written later than the given time, is one of a request that crashes endpoints.
--- a/src/peers/decode_message.cc
+++ b/src/peers/decode_message.cc
@@ -49,14 +49,16 @@
 run_reports decode(const fbs::RunReports &body)
 {
     run_reports value;
-    std::ranges::transform(*body.reports(), std::back_inserter(value.reports), [](const auto *report) {
+    for (const auto *report : *body.reports()) {
         crashes::run_report result{.request = {report->request(), report->caller()},
                                    .age = std::chrono::milliseconds(report->age_ms())};
         if (!report->endpoint()->str().empty()) {
             result.failed = crashes::endpoint_incarnation{report->endpoint()->str(), report->born()};
         }
-        return result;
-    });
+        if (result.failed.has_value() || report->proven()) {
+            value.reports.push_back(std::move(result));
+        }
+    }
     if (body.unproven() != nullptr) {
         std::ranges::transform(*body.unproven(), std::back_inserter(value.unproven), [](const auto *end) {
             return crashes::unproven_end{.request = {end->request(), end->caller()},
--- a/src/peers/encode_message.cc
+++ b/src/peers/encode_message.cc
@@ -199,7 +199,7 @@
                const endpoint_calls::endpoint_incarnation &endpoint, std::chrono::milliseconds age)
 {
     return fbs::CreateRunReport(out, request.content, out.CreateString(endpoint.id), endpoint.born,
-                                static_cast<std::uint32_t>(age.count()), request.caller);
+                                static_cast<std::uint32_t>(age.count()), request.caller, endpoint.id.empty());
 }
 
 body_offset encode(buffer_builder &out, const run_reports &value)
--- a/src/peers/internal/peer_messages_generated.h
+++ b/src/peers/internal/peer_messages_generated.h
@@ -1915,7 +1915,8 @@
     VT_ENDPOINT = 6,
     VT_BORN = 8,
     VT_AGE_MS = 10,
-    VT_CALLER = 12
+    VT_CALLER = 12,
+    VT_PROVEN = 14
   };
   uint64_t request() const {
     return GetField<uint64_t>(VT_REQUEST, 0);
@@ -1932,6 +1933,9 @@
   uint64_t caller() const {
     return GetField<uint64_t>(VT_CALLER, 0);
   }
+  bool proven() const {
+    return GetField<uint8_t>(VT_PROVEN, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
@@ -1940,6 +1944,7 @@
            VerifyField<uint64_t>(verifier, VT_BORN, 8) &&
            VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
            VerifyField<uint64_t>(verifier, VT_CALLER, 8) &&
+           VerifyField<uint8_t>(verifier, VT_PROVEN, 1) &&
            verifier.EndTable();
   }
 };
@@ -1963,6 +1968,9 @@
   void add_caller(uint64_t caller) {
     fbb_.AddElement<uint64_t>(RunReport::VT_CALLER, caller, 0);
   }
+  void add_proven(bool proven) {
+    fbb_.AddElement<uint8_t>(RunReport::VT_PROVEN, static_cast<uint8_t>(proven), 0);
+  }
   explicit RunReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1981,13 +1989,15 @@
     flatbuffers::Offset<flatbuffers::String> endpoint = 0,
     uint64_t born = 0,
     uint32_t age_ms = 0,
-    uint64_t caller = 0) {
+    uint64_t caller = 0,
+    bool proven = false) {
   RunReportBuilder builder_(_fbb);
   builder_.add_caller(caller);
   builder_.add_born(born);
   builder_.add_request(request);
   builder_.add_age_ms(age_ms);
   builder_.add_endpoint(endpoint);
+  builder_.add_proven(proven);
   return builder_.Finish();
 }
 
@@ -1997,7 +2007,8 @@
     const char *endpoint = nullptr,
     uint64_t born = 0,
     uint32_t age_ms = 0,
-    uint64_t caller = 0) {
+    uint64_t caller = 0,
+    bool proven = false) {
   auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
   return jackdawpick::peers::fbs::CreateRunReport(
       _fbb,
@@ -2005,7 +2016,8 @@
       endpoint__,
       born,
       age_ms,
-      caller);
+      caller,
+      proven);
 }
 
 struct RunReports FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
