Keep a link when a message on it cannot be decoded

A daemon closed the link to a peer whose message it could not decode, for example one of a kind that a newer build has added, and with the link went heartbeats, relayed store calls and what daemons tell of crashes. Frames show where the next message begins, so the message is skipped and logged; lines are bounded by powers of two. Bytes that are no frames close the link as before.

--- a/src/gateway_daemon/framed_links.cc
+++ b/src/gateway_daemon/framed_links.cc
@@ -4,6 +4,7 @@
 #include "results/results.h"
 
 #include <algorithm>
+#include <bit>
 #include <functional>
 #include <numeric>
 
@@ -90,11 +91,11 @@
                 boundBufferedBytes();
                 return;
             }
-            auto message = peers::decodeMessage(*payload);
-            if (!message.has_value()) {
-                throw error(result_code::MalformedRequest, "peer message could not be decoded");
+            if (auto message = peers::decodeMessage(*payload); message.has_value()) {
+                m_onEvent(gateway::link_message{link, std::move(*message)});
+            } else {
+                skip(link, found->second, payload->size());
             }
-            m_onEvent(gateway::link_message{link, std::move(*message)});
         }
     } catch (const error &problem) {
         logging::write(log_level::Warning, "peer_message_invalid",
@@ -103,6 +104,15 @@
     }
 }
 
+// A newer build may send kinds of messages that this one does not know. The frames show where the next one begins.
+void framed_links::skip(gateway::link_id link, link_state &state, std::size_t bytes)
+{
+    if (std::has_single_bit(++state.skipped)) { // Bounds the lines of a peer that sends many.
+        logging::write(log_level::Warning, "peer_message_skipped",
+                       {{"link", static_cast<std::uint64_t>(link)}, {"bytes", bytes}, {"skipped", state.skipped}});
+    }
+}
+
 void framed_links::drop(gateway::link_id link)
 {
     close({link});
--- a/src/gateway_daemon/framed_links.h
+++ b/src/gateway_daemon/framed_links.h
@@ -27,11 +27,13 @@
     {
         net::stream_id stream{};
         framing::frame_cutter frames;
+        std::size_t skipped = 0; // Messages that could not be decoded.
     };
 
     [[nodiscard]] net::tcp_handlers handlersFor(gateway::link_id link);
     void onReceived(gateway::link_id link, std::string_view bytes);
     void onClosed(gateway::link_id link);
+    static void skip(gateway::link_id link, link_state &state, std::size_t bytes);
     void drop(gateway::link_id link);
     void boundBufferedBytes();
 
