Send permits and relayed requests only to daemons that know them

Heartbeats of builds that know permits list limits, even an empty list, so no new field is needed: permits are issued among these daemons, and relays are chosen from them.

--- a/src/gateway/budgets.cc
+++ b/src/gateway/budgets.cc
@@ -74,9 +74,8 @@
     return rankedDaemons(rendezvousKeyOf(where), now);
 }
 
-std::vector<std::string> gateway::implementation::rankableDaemons(time_point now) const
+std::vector<std::string> gateway::implementation::withSelf(std::vector<std::string> names) const
 {
-    auto names = m_peers.readyPeers(now);
     if (!m_shutdownBegan.has_value() || names.empty()) {
         names.push_back(m_options.self.name);
     }
@@ -85,14 +84,18 @@
 
 std::vector<std::string> gateway::implementation::rankedDaemons(const std::string &key, time_point now) const
 {
-    auto names = rankableDaemons(now);
+    auto names = withSelf(m_peers.readyPeers(now));
     sortByRendezvousWeight(names, key);
     return names;
 }
 
 std::string gateway::implementation::firstDaemon(const std::string &key, time_point now) const
 {
-    auto names = rankableDaemons(now);
+    return firstInRank(withSelf(m_peers.readyPeers(now)), key);
+}
+
+std::string gateway::implementation::firstInRank(std::vector<std::string> names, const std::string &key)
+{
     const auto seed = XXH3_64bits(key.data(), key.size());
     return std::move(*std::ranges::max_element(names, std::less<>(), [seed](const std::string &name) {
         return std::pair(rendezvousWeight(name, seed), std::string_view(name));
--- a/src/gateway/endpoint_limits.cc
+++ b/src/gateway/endpoint_limits.cc
@@ -76,7 +76,7 @@
 
 std::string gateway::implementation::permitIssuerOf(const std::string &endpoint, time_point now) const
 {
-    return firstDaemon("permits/" + endpoint, now);
+    return firstInRank(withSelf(m_peers.readyPermitIssuers(now)), "permits/" + endpoint);
 }
 
 // Takes over, or hands over, the endpoints whose permits this daemon issues after the live daemons have changed.
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -133,7 +133,9 @@
     [[nodiscard]] std::vector<std::string> rankedDaemons(const std::string &key, time_point now) const;
     // The first of these, without sorting the others.
     [[nodiscard]] std::string firstDaemon(const std::string &key, time_point now) const;
-    [[nodiscard]] std::vector<std::string> rankableDaemons(time_point now) const;
+    [[nodiscard]] static std::string firstInRank(std::vector<std::string> names, const std::string &key);
+    // The names with that of this daemon, unless it is shutting down and others are there.
+    [[nodiscard]] std::vector<std::string> withSelf(std::vector<std::string> names) const;
     [[nodiscard]] static std::string rendezvousKeyOf(const store::partition &where);
     // Sorts daemons by their rendezvous hashes for the key, the largest first.
     static void sortByRendezvousWeight(std::vector<std::string> &daemons, const std::string &key);
--- a/src/gateway/internal/peer_table.cc
+++ b/src/gateway/internal/peer_table.cc
@@ -174,7 +174,8 @@
                              .zone = entry.identity.zone,
                              .callerAddress = entry.identity.callerAddress,
                              .link = entry.open ? entry.link : std::nullopt,
-                             .reachesEndpoints = !entry.heartbeat.endpointsUnreachable});
+                             .reachesEndpoints = !entry.heartbeat.endpointsUnreachable,
+                             .relays = !entry.heartbeat.endpointsUnreachable && entry.heartbeat.knowsPermitsAndRelays});
         }
     }
     return peers;
@@ -184,13 +185,29 @@
 {
     std::vector<std::string> names;
     for (const auto &[name, entry] : m_peers) {
-        if (entry.open && isAlive(entry, now) && entry.heartbeat.ready) {
+        if (isReady(entry, now)) {
             names.push_back(name);
         }
     }
     return names;
 }
 
+std::vector<std::string> peer_table::readyPermitIssuers(time_point now) const
+{
+    std::vector<std::string> names;
+    for (const auto &[name, entry] : m_peers) {
+        if (isReady(entry, now) && entry.heartbeat.knowsPermitsAndRelays) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
+bool peer_table::isReady(const peer &entry, time_point now) const
+{
+    return entry.open && isAlive(entry, now) && entry.heartbeat.ready;
+}
+
 std::optional<link_id> peer_table::linkTo(const std::string &name) const
 {
     const auto found = m_peers.find(name);
--- a/src/gateway/internal/peer_table.h
+++ b/src/gateway/internal/peer_table.h
@@ -58,6 +58,7 @@
         std::string callerAddress;
         std::optional<link_id> link; // If it is open.
         bool reachesEndpoints = false;
+        bool relays = false; // It reaches them and knows requests that are relayed.
     };
 
     // The live peers that accept requests.
@@ -66,6 +67,8 @@
     [[nodiscard]] std::optional<link_id> linkToPeerWithStore(double randomFraction, time_point now) const;
     // Names of the live peers that accept requests and have an open link.
     [[nodiscard]] std::vector<std::string> readyPeers(time_point now) const;
+    // Those of them that know permits.
+    [[nodiscard]] std::vector<std::string> readyPermitIssuers(time_point now) const;
     // The link to the peer, if it is open.
     [[nodiscard]] std::optional<link_id> linkTo(const std::string &name) const;
     // The peer on the link failed to serve a store call; it gets no further calls until its next heartbeat.
@@ -86,6 +89,7 @@
     };
 
     [[nodiscard]] bool isAlive(const peer &entry, time_point now) const;
+    [[nodiscard]] bool isReady(const peer &entry, time_point now) const;
 
     peers::hello m_self;
     std::map<std::string, peer> m_peers;
--- a/src/gateway/relaying.cc
+++ b/src/gateway/relaying.cc
@@ -77,7 +77,7 @@
         return;
     }
     const bool lost = change == reachability::path_change::Lost;
-    const auto relays = std::ranges::count_if(m_peers.ready(now), &internal::peer_table::ready_peer::reachesEndpoints);
+    const auto relays = std::ranges::count_if(m_peers.ready(now), &internal::peer_table::ready_peer::relays);
     log(lost ? log_level::Warning : log_level::Info, lost ? "endpoints_lost" : "endpoints_regained",
         {{"endpoints", m_pool.size()},
          {"last_heard_ms", millisecondsBetween(m_lastHeardAt, now).count()},
@@ -122,7 +122,7 @@
 {
     auto peers = m_peers.ready(now);
     std::erase_if(peers, [&](const auto &peer) {
-        return !peer.reachesEndpoints || !peer.link.has_value() || context.refusingPeers.contains(peer.name);
+        return !peer.relays || !peer.link.has_value() || context.refusingPeers.contains(peer.name);
     });
     const auto endOfNear = std::stable_partition(peers.begin(), peers.end(), [&](const auto &peer) {
         return peer.zone == m_options.self.zone || peer.zone == zone;
--- a/src/peers/decode_message.cc
+++ b/src/peers/decode_message.cc
@@ -27,6 +27,7 @@
     heartbeat value{.ready = body.ready(),
                     .storeReachable = body.store_reachable(),
                     .endpointsUnreachable = body.endpoints_unreachable(),
+                    .knowsPermitsAndRelays = body.limits() != nullptr,
                     .configuration = body.configuration()};
     for (const auto *load : *body.loads()) {
         value.loads.emplace_back(load->endpoint()->str(), load->in_flight());
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -41,6 +41,9 @@
     bool ready = false; // Accepts requests of callers.
     bool storeReachable = false; // Directly, without a relay.
     bool endpointsUnreachable = false; // The sender has lost its paths to the endpoints.
+    // Earlier builds close the link when a permit or a relayed request comes. Told by the list of limits, which they do
+    // not send; not encoded otherwise.
+    bool knowsPermitsAndRelays = true;
     std::uint64_t configuration = 0; // Version of the active configuration; 0: none.
     fleet::endpoint_loads loads;
     std::vector<limits::limit_report> limits; // Stated by endpoints in responses to the sender.
