Log when a block ends because its request is forgotten

Forgotten blocked requests are reported as released, and request_dispatched tells whether the request has crashed enough endpoints to have been blocked.

--- a/src/crashes/crashes.cc
+++ b/src/crashes/crashes.cc
@@ -111,13 +111,21 @@
     return withdrawn || commonFailures(value) < countedBefore;
 }
 
+void crash_tracker::noteForgotten(std::uint64_t content, const request_failures &value)
+{
+    m_unstored.erase(content);
+    if (value.reportedBlocked) {
+        m_forgotten.push_back({.content = content, .blocked = false, .failures = mostFailures(value)});
+    }
+}
+
 void crash_tracker::evictLeastTelling()
 {
     const auto least = std::ranges::min_element(m_requests, std::less<>(), [](const auto &item) {
         const auto &value = item.second;
         return std::tuple(isSuspect(value), value.failed.size(), value.latest);
     });
-    m_unstored.erase(least->first);
+    noteForgotten(least->first, least->second);
     m_requests.erase(least);
 }
 
@@ -246,6 +254,12 @@
     return isBlocked(isProven ? 0 : std::max(own, commonFailures(value)), value.latest, now);
 }
 
+bool crash_tracker::isSuspect(std::uint64_t content) const
+{
+    const auto found = m_requests.find(content);
+    return found != m_requests.end() && isSuspect(found->second);
+}
+
 std::size_t crash_tracker::blockedCount(time_point now) const
 {
     return static_cast<std::size_t>(std::ranges::count_if(
@@ -259,7 +273,7 @@
 
 std::vector<block_change> crash_tracker::takeChanges()
 {
-    std::vector<block_change> changes;
+    auto changes = std::exchange(m_forgotten, {});
     for (const auto content : std::exchange(m_changed, {})) {
         const auto found = m_requests.find(content);
         if (found == m_requests.end()) {
@@ -363,7 +377,7 @@
             stored.push_back(item.first);
         }
         if (expired) {
-            m_unstored.erase(item.first);
+            noteForgotten(item.first, item.second);
         }
         return expired;
     });
--- a/src/crashes/crashes.h
+++ b/src/crashes/crashes.h
@@ -109,6 +109,8 @@
     void onReport(const run_report &report, time_point now);
 
     [[nodiscard]] bool isBlocked(const request_identity &request, time_point now) const;
+    // Whether so many have failed that the request is or was blocked.
+    [[nodiscard]] bool isSuspect(std::uint64_t content) const;
     [[nodiscard]] std::size_t blockedCount(time_point now) const;
     // Removes and returns the queued reports to the other daemons.
     [[nodiscard]] std::vector<run_report> takeReports();
@@ -178,6 +180,7 @@
     bool recordCompletion(const request_identity &request, time_point at);
     void noteChange(std::uint64_t content, const request_failures &value);
     void evictLeastTelling();
+    void noteForgotten(std::uint64_t content, const request_failures &value);
     [[nodiscard]] static std::optional<time_point> latestCompletion(const request_failures &value);
     // Failures of any caller that no success of any caller has followed.
     [[nodiscard]] static std::size_t commonFailures(const request_failures &value);
@@ -196,6 +199,7 @@
     std::vector<run_report> m_reports;
     std::vector<unproven_end> m_unprovenEnds; // Not yet taken.
     std::set<std::uint64_t> m_changed; // Requests that takeChanges() looks at.
+    std::vector<block_change> m_forgotten; // Blocked requests that were forgotten since takeChanges().
     std::set<std::uint64_t> m_unstored;
 };
 
--- a/src/crashes/crashes_test.cc
+++ b/src/crashes/crashes_test.cc
@@ -232,6 +232,30 @@
     EXPECT_FALSE(local.isBlocked({7, 3}, clock.now())); // One failure since a success.
 }
 
+// Guards against a block that ends with no line in the log, since its request is forgotten.
+TEST_F(crashes_test, ForgottenBlockIsReported)
+{
+    failEndpoints(local, 7, 3);
+    (void)local.takeChanges();
+    clock.advance(crash_tracker::blockedRetention);
+    local.evictExpired(clock.now(), isGone);
+    EXPECT_EQ(local.takeChanges(), (std::vector<block_change>{{.content = 7, .blocked = false, .failures = 3}}));
+}
+
+// Guards against a record that an earlier build deletes after a crash that looked like a success.
+TEST_F(crashes_test, DeletedRecordIsNoSuccess)
+{
+    failEndpoints(local, 7, 3);
+    local.onStored(7, 3);
+    local.onRecordDeleted(7, clock.now());
+    EXPECT_TRUE(local.isBlocked({7}, clock.now()));
+    EXPECT_EQ(local.unstored(), std::set<std::uint64_t>{7}); // Stored again, for daemons that start later.
+    local.onStored(7, 3);
+    clock.advance(crash_tracker::retention);
+    local.onRecordDeleted(7, clock.now());
+    EXPECT_TRUE(local.unstored().empty());
+}
+
 // Guards against memory use that grows with the number of requests whose outcome is not known, and against losing some
 // without saying so.
 TEST_F(crashes_test, NumberOfSuspicionsIsBounded)
--- a/src/gateway/dispatching.cc
+++ b/src/gateway/dispatching.cc
@@ -135,6 +135,7 @@
                 {"send", context.sends},
                 {"expected_wait_ms", static_cast<std::int64_t>(chosen.expectedWait.count())},
                 {"limited", chosen.limited},
+                {"suspect", m_crashes.isSuspect(context.identity.content)},
                 {"relay", relay.has_value() ? relay->peer : "none"},
                 {"configuration", context.table->source().version}},
                now);
