Hold responses without a length to idempotent requests until they are whole

Callers saw torn responses to idempotent requests that another endpoint could have answered: only a response with a length was held back for a repetition. One without a length is now held while it arrives, up to 64 KB and 100 ms, and repeated elsewhere if its connection is lost.

--- a/src/gateway/close_delimited_responses_test.cc
+++ b/src/gateway/close_delimited_responses_test.cc
@@ -189,6 +189,24 @@
     EXPECT_EQ(world.runs.back().body, "in:a\n" + eventTextOf("a") + "in:b\n");
 }
 
+// Guards against a torn response to a request that another endpoint could have answered whole.
+TEST_P(close_delimited_responses, LostPartOfAnIdempotentResponseIsNotForwarded)
+{
+    for (int i = 0; i < 11; ++i) {
+        world.endpointBehaviours[fmt::format("shop-{}", i)] = endpoint_behaviour::Rejects;
+    }
+    world.endpointBehaviours["shop-0"] = endpoint_behaviour::LosesPartWithoutLength;
+    for (int i = 0; i < 20; ++i) {
+        const auto attempt = fmt::format("read-{}", i);
+        const auto &response = world.sendAndWait(0, shopRequest("/read/x", attempt));
+        EXPECT_FALSE(response.aborted) << attempt;
+        if (response.status == 200) {
+            EXPECT_EQ(response.body, "done:" + attempt);
+        }
+    }
+    EXPECT_GE(world.logLinesOf("endpoint_failed"), 1);
+}
+
 INSTANTIATE_TEST_SUITE_P(Daemons, close_delimited_responses, ::testing::Values(9, 80));
 
 } // namespace jackdawpick::gateway::testing
--- a/src/gateway/dispatching.cc
+++ b/src/gateway/dispatching.cc
@@ -24,6 +24,8 @@
 // Responses to idempotent requests are buffered until they are complete if they are no larger than this, so that the
 // request can be retried on another endpoint when the connection is lost.
 constexpr std::uint64_t maxBufferedResponseBytes = 64U << 10U;
+// How long one without a length is buffered while parts of it arrive.
+constexpr milliseconds maxBufferedTime{100};
 // An event holds a few tokens. One that grows beyond this, or the text of a turn beyond its own bound, is no answer of
 // a sound engine and would fill the memory of the host.
 constexpr std::size_t maxIncompleteEventBytes = 64U << 10U;
@@ -195,7 +197,7 @@
         cancelDispatch(context);
         onDispatchFailed(context, dispatch_outcome::Lost, failure_site::Response, now);
     } else {
-        startForwarding(context, head);
+        startForwarding(context, head, now);
     }
 }
 
@@ -218,18 +220,25 @@
     }
 }
 
-void gateway::implementation::startForwarding(request_context &context, endpoint_calls::endpoint_head &head)
+void gateway::implementation::startForwarding(request_context &context, endpoint_calls::endpoint_head &head,
+                                              time_point now)
 {
     context.status = head.status;
     context.endsWithConnection = head.endsWithConnection;
-    const bool canBuffer = context.route->kind == routing::request_kind::Idempotent && head.contentLength.has_value()
-        && *head.contentLength <= maxBufferedResponseBytes;
+    context.eventStream = head.status == 200 && isEventStream(head.headers);
+    const bool canBuffer = context.route->kind == routing::request_kind::Idempotent && !context.eventStream
+        && head.contentLength.value_or(0) <= maxBufferedResponseBytes;
     if (canBuffer) {
         context.bufferedHead = std::move(head);
+        context.bufferedSince = now;
         return;
     }
+    startResponse(context, head);
+}
+
+void gateway::implementation::startResponse(request_context &context, endpoint_calls::endpoint_head &head)
+{
     context.responseStarted = true;
-    context.eventStream = head.status == 200 && isEventStream(head.headers);
     const auto length = context.eventStream ? std::nullopt : head.contentLength;
     m_effects.emplace_back(start_response{context.id, head.status, std::move(head.headers), length});
 }
@@ -245,6 +254,10 @@
     noteResponse(context, now);
     if (context.bufferedHead.has_value()) {
         context.responseText += received.bytes;
+        if (context.responseText.size() > maxBufferedResponseBytes
+            || (!context.bufferedHead->contentLength.has_value() && now - context.bufferedSince > maxBufferedTime)) {
+            forwardBuffered(context, now);
+        }
     } else if (context.eventStream) {
         forwardEvents(context, received.bytes, now);
         if (exceedsTurn(context) || context.eventSplitter.incompleteEvent().size() > maxIncompleteEventBytes) {
@@ -257,6 +270,18 @@
     }
 }
 
+// From here on the request is not sent again.
+void gateway::implementation::forwardBuffered(request_context &context, time_point now)
+{
+    auto head = std::move(*context.bufferedHead);
+    context.bufferedHead.reset();
+    startResponse(context, head);
+    if (!context.responseText.empty()) {
+        context.firstByteAt = context.firstByteAt.value_or(now);
+        m_effects.emplace_back(response_bytes{context.id, std::exchange(context.responseText, {})});
+    }
+}
+
 // Whether the events received are more than the request may generate.
 bool gateway::implementation::exceedsTurn(const request_context &context) const
 {
@@ -332,9 +357,7 @@
     releaseEndpoint(context, fleet::request_outcome::Answered, now);
     noteRunEnd(context, now);
     if (context.bufferedHead.has_value()) {
-        m_effects.emplace_back(start_response{context.id, context.bufferedHead->status, context.bufferedHead->headers,
-                                              context.bufferedHead->contentLength});
-        m_effects.emplace_back(response_bytes{context.id, std::move(context.responseText)});
+        forwardBuffered(context, now);
     } else if (context.eventStream && !context.eventSplitter.incompleteEvent().empty()) {
         m_effects.emplace_back(response_bytes{context.id, std::string(context.eventSplitter.incompleteEvent())});
     }
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -193,7 +193,9 @@
     endpointRequestFor(const request_context &context, const fleet::placement &chosen, time_point now);
     void releaseEndpoint(request_context &context, fleet::request_outcome outcome, time_point now);
     void onRejected(request_context &context, const endpoint_calls::endpoint_head &head, time_point now);
-    void startForwarding(request_context &context, endpoint_calls::endpoint_head &head);
+    void startForwarding(request_context &context, endpoint_calls::endpoint_head &head, time_point now);
+    void startResponse(request_context &context, endpoint_calls::endpoint_head &head);
+    void forwardBuffered(request_context &context, time_point now);
     [[nodiscard]] bool exceedsTurn(const request_context &context) const;
     void forwardEvents(request_context &context, const std::string &bytes, time_point now);
     [[nodiscard]] static bool isBrokenOff(const request_context &context);
--- a/src/gateway/internal/request_context.h
+++ b/src/gateway/internal/request_context.h
@@ -85,6 +85,7 @@
 
     std::optional<endpoint_calls::endpoint_head>
         bufferedHead; // Set while the response is buffered until it is complete.
+    time_point bufferedSince{};
     bool responseStarted = false; // The head has been sent to the caller.
     std::uint16_t status = 0;
     std::optional<result_code> refusal;
--- a/src/gateway/testing/gateway_world.h
+++ b/src/gateway/testing/gateway_world.h
@@ -50,7 +50,9 @@
     Errs, // Runs the request and responds with 500.
     IsAnother, // Another endpoint has the address; it does not run the request.
     EndsWithConnection, // Responds without a length and closes the connection after the whole response.
-    EndsInsideEvent, // As before, but closes it inside the last event, or after half of a response without events.
+    LosesPartWithoutLength, // Runs the request; the connection is lost in the middle of a response without a length.
+    EndsInsideEvent, // As EndsWithConnection, but closes it inside the last event, or after half of a response without
+                     // events.
 };
 
 // What the connections of an endpoint that crashes show.
--- a/src/gateway/testing/world_endpoints.cc
+++ b/src/gateway/testing/world_endpoints.cc
@@ -123,7 +123,8 @@
     const int pieceCount = stream ? m_options.eventsPerTurn : 1;
     const auto gap = stream ? m_options.eventInterval : m_options.serviceTime;
     const auto content = stream ? std::string() : "done:" + output.request.attempt;
-    const bool endsInside = behaviour == endpoint_behaviour::EndsInsideEvent;
+    const bool losesPart = behaviour == endpoint_behaviour::LosesPartWithoutLength;
+    const bool endsInside = losesPart || behaviour == endpoint_behaviour::EndsInsideEvent;
     const bool endsWithConnection = endsInside || behaviour == endpoint_behaviour::EndsWithConnection;
     const auto length = stream || endsWithConnection ? std::nullopt : std::optional<std::uint64_t>(content.size());
     respond(gap,
@@ -143,8 +144,8 @@
         }
         respond(gap * i, response_chunk{output.dispatch, text});
     }
-    end(gap * pieceCount + 1ms,
-        behaviour == endpoint_behaviour::TruncatesResponse ? dispatch_outcome::Lost : dispatch_outcome::Complete);
+    const bool isLost = losesPart || behaviour == endpoint_behaviour::TruncatesResponse;
+    end(gap * pieceCount + 1ms, isLost ? dispatch_outcome::Lost : dispatch_outcome::Complete);
 }
 
 int gateway_world::crashCountOf(const std::string &endpoint) const
