Let the emulator answer without a length and state rate limits

New cases: net_test.StreamEndsWithItsConnectionIfAsked and emulator_test.ProgramsFinishWhenAnswersEndWithTheirConnections.

--- a/src/net/internal/http_server.cc
+++ b/src/net/internal/http_server.cc
@@ -183,6 +183,7 @@
         m_chunked = false;
         m_link->send(headText(head) + fmt::format("Content-Length: {}\r\n\r\n", *head.contentLength));
     } else {
+        m_chunked = m_chunked && !head.endsWithConnection;
         m_keepAlive = m_keepAlive && m_chunked;
         m_link->send(headText(head) + (m_chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n"));
     }
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -54,6 +54,7 @@
     std::vector<std::pair<std::string, std::string>> headers;
     // Of a streamed body; without it the body is sent in chunks.
     std::optional<std::uint64_t> contentLength;
+    bool endsWithConnection = false; // Of a streamed body: sent without chunks and ended by closing the connection.
 };
 
 struct client_request
--- a/src/net/net_test.cc
+++ b/src/net/net_test.cc
@@ -142,6 +142,18 @@
     EXPECT_TRUE(received.ends_with("data: 49\n\n"));
 }
 
+// Guards against a body that is to end with its connection and that gets chunks or a length.
+TEST_F(net_test, StreamEndsWithItsConnectionIfAsked)
+{
+    serve([&](const http_request &request) {
+        loop.beginStream(request.id, {.contentType = "text/plain", .endsWithConnection = true});
+        loop.writeStream(request.id, "abc");
+        loop.endStream(request.id);
+    });
+    const auto received = rawExchange("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    EXPECT_EQ(received, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\nabc");
+}
+
 // Guards against an error answer being fed to the handler of a stream.
 TEST_F(net_test, ErrorBodyIsNotStreamed)
 {
--- a/standins/emulator/emulator_main.cc
+++ b/standins/emulator/emulator_main.cc
@@ -18,7 +18,7 @@
 
 Usage:
   jackdawpick-emulator serve [--store=ADDR] [--engines=N] [--services=N] [--seed=N] [--lose-replies=X]
-      [--lose-answers=X]
+      [--lose-answers=X] [--end-with-connection=X] [--rate-limit=X]
   jackdawpick-emulator drive --directory=ADDR... [--programs=N] [--turns=N] [--spacing-ms=N] [--seed=N]
   jackdawpick-emulator --help
 
@@ -29,6 +29,8 @@
   --seed=N            Seed of all random draws [default: 1].
   --lose-replies=X    Part of the appends that are executed without a reply [default: 0].
   --lose-answers=X    Part of the requests that endpoints run without an answer [default: 0].
+  --end-with-connection=X  Part of the answers that have neither a length nor chunks [default: 0].
+  --rate-limit=X      Requests per second that each endpoint states to take; 0: none [default: 0].
   --directory=ADDR    Directory address of a daemon; may be given several times.
   --programs=N        Programs to run [default: 100].
   --turns=N           Turns of a program [default: 3].
@@ -48,13 +50,16 @@
 int serve(const arguments &given)
 {
     net::loop loop;
+    const double limit = number(given, "--rate-limit");
     platform_emulator platform(loop,
                                {.storeAddress = given.at("--store").asString(),
                                 .engines = integer(given, "--engines"),
                                 .services = integer(given, "--services"),
                                 .seed = static_cast<unsigned>(integer(given, "--seed")),
                                 .losesReply = number(given, "--lose-replies"),
-                                .losesAnswer = number(given, "--lose-answers")});
+                                .losesAnswer = number(given, "--lose-answers"),
+                                .endsWithConnection = number(given, "--end-with-connection"),
+                                .rateLimit = limit > 0 ? std::optional(limit) : std::nullopt});
     fmt::print("store {}\n", platform.start());
     std::fflush(stdout);
     loop.onSignals([&loop] { loop.stop(); });
--- a/standins/emulator/emulator_test.cc
+++ b/standins/emulator/emulator_test.cc
@@ -107,6 +107,17 @@
     }
 }
 
+// Guards against answers that end with their connection and that are torn, refused or lost on their way.
+TEST_F(emulator_test, ProgramsFinishWhenAnswersEndWithTheirConnections)
+{
+    const auto report = run({.seed = 5, .endsWithConnection = 0.5}, {.programs = 20}, 2);
+    EXPECT_EQ(report.finished, 20);
+    EXPECT_EQ(report.wrong, 0);
+    for (const auto &payment : report.payments) {
+        EXPECT_EQ(runsOf(payment), 1) << payment;
+    }
+}
+
 // Guards against payments that run twice, refusals that are not true and changed chains while the store loses replies
 // and endpoints lose answers.
 TEST_F(emulator_test, LossesBreakNoPromise)
--- a/standins/emulator/platform_emulator.cc
+++ b/standins/emulator/platform_emulator.cc
@@ -273,9 +273,7 @@
 {
     const auto attempt = headerOf(request, "x-attempt-id");
     const auto digest = bodyDigest(request.body);
-    m_loop.beginStream(
-        request.id,
-        {.contentType = "text/event-stream", .headers = {{"X-Attempt-Id", attempt}, {"X-Server-Stamp", which.id}}});
+    m_loop.beginStream(request.id, answerHead(which, attempt, "text/event-stream"));
     for (int i = 1; i <= m_options.eventsPerTurn; ++i) {
         m_loop.after(m_options.eventGap * i, [this, id = request.id, attempt, digest, i] {
             const auto data = i == 1 ? fmt::format("digest {:016x}", digest) : fmt::format("{} {}", attempt, i);
@@ -293,10 +291,27 @@
     const auto attempt = headerOf(request, "x-attempt-id");
     m_loop.after(m_options.serviceTime, [this, &which, id = request.id, attempt] {
         --which.busy;
-        m_loop.respond(
-            id, {.contentType = "text/plain", .headers = {{"X-Attempt-Id", attempt}, {"X-Server-Stamp", which.id}}},
-            "done " + attempt);
+        const auto head = answerHead(which, attempt, "text/plain");
+        const auto body = "done " + attempt;
+        if (head.endsWithConnection) {
+            m_loop.beginStream(id, head);
+            m_loop.writeStream(id, body);
+            m_loop.endStream(id);
+        } else {
+            m_loop.respond(id, head, body);
+        }
     });
 }
 
+net::http_head platform_emulator::answerHead(const endpoint &which, const std::string &attempt, std::string contentType)
+{
+    net::http_head head{.contentType = std::move(contentType),
+                        .headers = {{"X-Attempt-Id", attempt}, {"X-Server-Stamp", which.id}},
+                        .endsWithConnection = happens(m_options.endsWithConnection)};
+    if (m_options.rateLimit.has_value()) {
+        head.headers.emplace_back("Server-Limit", fmt::format("{}", *m_options.rateLimit));
+    }
+    return head;
+}
+
 } // namespace jackdawpick::standins
--- a/standins/emulator/platform_emulator.h
+++ b/standins/emulator/platform_emulator.h
@@ -13,6 +13,7 @@
 
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <random>
 #include <vector>
 
@@ -40,6 +41,8 @@
     std::chrono::milliseconds storeTime{4};
     double losesReply = 0; // Part of the appends that are executed without a reply.
     double losesAnswer = 0; // Part of the requests that endpoints run without an answer.
+    double endsWithConnection = 0; // Part of the answers that have neither a length nor chunks.
+    std::optional<double> rateLimit; // Requests per second that each endpoint states to take.
     std::vector<listed_endpoint> otherEndpoints;
 };
 
@@ -85,6 +88,7 @@
     void handleEndpoint(endpoint &which, const net::http_request &request);
     void runTurn(endpoint &which, const net::http_request &request);
     void runCall(endpoint &which, const net::http_request &request);
+    [[nodiscard]] net::http_head answerHead(const endpoint &which, const std::string &attempt, std::string contentType);
     [[nodiscard]] bool happens(double part);
 
     net::loop &m_loop;
