Share the steps of tests with relayed crashes in their fixture

crashing_request_test and close_delimited_responses_test held the same loop, and the same way to lose the paths of a daemon. What they check is unchanged.

--- a/src/gateway/close_delimited_responses_test.cc
+++ b/src/gateway/close_delimited_responses_test.cc
@@ -27,18 +27,6 @@
         }
     }
 
-    // Takes the paths to the endpoints from daemon 0, so that its requests go through peers.
-    void losePaths()
-    {
-        world.endpointPaths[0] = path_behaviour::Hangs;
-        for (int i = 0; i < 4; ++i) {
-            world.send(0, shopRequest("/read/x", fmt::format("early-{}", i)));
-            world.runFor(300ms);
-        }
-        world.runFor(1s);
-        ASSERT_GE(world.logLinesOf("endpoints_lost"), 1);
-    }
-
     // A request of another caller with the content of the crashing one. It crashes nothing.
     std::uint16_t sendOfAnotherCaller(int daemon)
     {
@@ -88,16 +76,7 @@
 {
     losePaths();
     world.crashing->sign = crash_sign::EndBetweenEvents;
-    for (int i = 0; i < 12; ++i) {
-        const auto crashesBefore = world.crashing->crashes.size();
-        world.send(0, crashingRequest(100 + i));
-        for (int wait = 0; wait < 600 && world.crashing->crashes.size() == crashesBefore; ++wait) {
-            world.runFor(1ms);
-        }
-        world.kill(0);
-        world.start(0);
-        world.runFor(1500ms);
-    }
+    crashAndKillDaemon(12);
     EXPECT_LE(runsAfterWindow(), allowedRetries);
 }
 
--- a/src/gateway/crashing_request_test.cc
+++ b/src/gateway/crashing_request_test.cc
@@ -74,23 +74,8 @@
 // Guards against crashes that nobody counts, since the daemon that waited for the relayed response was killed.
 TEST_P(crashing_requests, AreCountedByTheDaemonThatRelaysThem)
 {
-    world.endpointPaths[0] = path_behaviour::Hangs;
-    for (int i = 0; i < 4; ++i) {
-        world.send(0, shopRequest("/read/x", fmt::format("early-{}", i)));
-        world.runFor(300ms);
-    }
-    world.runFor(1s);
-    ASSERT_GE(world.logLinesOf("endpoints_lost"), 1);
-    for (int i = 0; i < 12; ++i) {
-        const auto crashesBefore = world.crashing->crashes.size();
-        world.send(0, crashingRequest(100 + i));
-        for (int wait = 0; wait < 600 && world.crashing->crashes.size() == crashesBefore; ++wait) {
-            world.runFor(1ms);
-        }
-        world.kill(0);
-        world.start(0);
-        world.runFor(1500ms);
-    }
+    losePaths();
+    crashAndKillDaemon(12);
     EXPECT_LE(runsAfterWindow(), allowedRetries);
 }
 
--- a/src/gateway/testing/crashing_requests.h
+++ b/src/gateway/testing/crashing_requests.h
@@ -62,6 +62,33 @@
         }
     }
 
+    // Takes the paths to the endpoints from daemon 0, so that its requests go through peers.
+    void losePaths()
+    {
+        world.endpointPaths[0] = path_behaviour::Hangs;
+        for (int i = 0; i < 4; ++i) {
+            world.send(0, shopRequest("/read/x", fmt::format("early-{}", i)));
+            world.runFor(std::chrono::milliseconds(300));
+        }
+        world.runFor(std::chrono::seconds(1));
+        ASSERT_GE(world.logLinesOf("endpoints_lost"), 1);
+    }
+
+    // Sends the request to daemon 0 again and again, and kills the daemon each time in the moment of the crash.
+    void crashAndKillDaemon(int count)
+    {
+        for (int i = 0; i < count; ++i) {
+            const auto crashesBefore = world.crashing->crashes.size();
+            world.send(0, crashingRequest(100 + i));
+            for (int wait = 0; wait < 600 && world.crashing->crashes.size() == crashesBefore; ++wait) {
+                world.runFor(std::chrono::milliseconds(1));
+            }
+            world.kill(0);
+            world.start(0);
+            world.runFor(std::chrono::milliseconds(1500));
+        }
+    }
+
     void setLinksBlocked(int daemon, bool blocked)
     {
         for (int other = 0; other < GetParam(); ++other) {
