Correct the comment on the order of suspicions

Reports of other daemons carry an age, so the queue is no longer in the order of the times. Comment only; found in the last reading of the diff.

--- a/src/crashes/crashes.h
+++ b/src/crashes/crashes.h
@@ -194,7 +194,7 @@
                               std::vector<run_report> &out);
 
     std::map<std::uint64_t, request_failures> m_requests; // By content.
-    std::deque<suspicion> m_suspicions; // Oldest first.
+    std::deque<suspicion> m_suspicions; // In the order of their arrival; reported ones may be older than those before.
     std::size_t m_droppedSuspicions = 0;
     std::vector<run_report> m_reports;
     std::vector<unproven_end> m_unprovenEnds; // Not yet taken.
