Never refuse a request as not run that an endpoint may have run

Callers saw 503 with "not run" for an idempotent request that two endpoints had run and whose responses were lost (emulator_losses_test, listed red). Cause: only one of the refusals asked whether the request had been sent before; dispatch() without a further endpoint, a passed deadline, rejections and denied permits did not. The check now lies in refuseRequest(), through which all of them go. Ruled out: an endpoint that claims not to have run it; the emulator counted the runs.

Before: Retries.RequestThatMayHaveRunIsNotRefusedAsNotRun failed (404 NoEndpoint in place of 401 OutcomeUnknown).

--- a/src/gateway/dispatching.cc
+++ b/src/gateway/dispatching.cc
@@ -78,13 +78,12 @@
             .unlimitedOnly = context.permitsDenied >= maxPermitRequests};
 }
 
-// Refuses a request that crashes endpoints, truthfully: it may have run if it was sent before.
+// Refuses a request that crashes endpoints.
 bool gateway::implementation::refuseIfBlocked(request_context &context, time_point now)
 {
     const bool blocked = m_crashes.isBlocked(context.identity, now);
     if (blocked) {
-        const auto code = context.attempts > 0 ? result_code::OutcomeUnknown : result_code::RequestBlocked;
-        refuseRequest(context, code, std::nullopt, now);
+        refuseRequest(context, result_code::RequestBlocked, std::nullopt, now);
     }
     return blocked;
 }
--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -269,6 +269,29 @@
     }
 }
 
+// Guards against a refusal that says "not run" for a request that endpoints have run and no further one can take.
+TEST(Retries, RequestThatMayHaveRunIsNotRefusedAsNotRun)
+{
+    for (const auto second : {endpoint_behaviour::LosesResponse, endpoint_behaviour::Rejects}) {
+        gateway_world world({.daemons = 1});
+        world.warmUp();
+        world.endpointBehaviours["shop-0"] = endpoint_behaviour::LosesResponse;
+        world.endpointBehaviours["shop-1"] = second;
+        int runs = 0;
+        for (int i = 0; i < 6; ++i) {
+            const auto attempt = fmt::format("a{}", i);
+            const auto &response = world.sendAndWait(0, shopRequest("/read/1", attempt));
+            ASSERT_TRUE(response.ended());
+            runs += world.runsOf(attempt);
+            if (world.runsOf(attempt) > 0) {
+                EXPECT_EQ(response.refusal, result_code::OutcomeUnknown) << attempt;
+                EXPECT_FALSE(response.retryAfter.has_value());
+            }
+        }
+        EXPECT_GT(runs, 0);
+    }
+}
+
 // Guards against a request that crashes one endpoint after another, also when its retries arrive at different daemons.
 TEST(Retries, RequestThatCrashesEndpointsIsBlocked)
 {
--- a/src/gateway/requests.cc
+++ b/src/gateway/requests.cc
@@ -141,9 +141,15 @@
     m_effects.emplace_back(refuse{received.caller, code, retryAfter});
 }
 
+// A request that an endpoint may have run is never refused with a code that says it has not run.
 void gateway::implementation::refuseRequest(request_context &context, result_code code,
                                             std::optional<milliseconds> retryAfter, time_point now)
 {
+    const bool mayHaveRun = context.attempts > 0;
+    if (mayHaveRun && describe(code).outcome == execution::NotRun) {
+        code = result_code::OutcomeUnknown;
+        retryAfter.reset();
+    }
     const auto &refusal = describe(code);
     context.status = refusal.httpStatus;
     context.refusal = code;
