Count the loads of peers until their next report

Read and shown by a test: a report of a peer's loads was ignored after 2 s, but with 195 daemons heartbeats come each 2.3 s. Placement and admission forgot the loads of all other daemons in turns. A report now counts until the next one or the death of the peer; how much it says about single endpoints still fades with its age. The sum over all peers is made in one pass over their reports instead of a lookup for each endpoint and peer.

Before: Utilisation.CountsLoadsOfPeersUntilTheirNextReport failed (0 in place of 1.5). After: it passes.

--- a/src/fleet/endpoint_pool.cc
+++ b/src/fleet/endpoint_pool.cc
@@ -1,7 +1,8 @@
 #include "fleet/fleet.h"
 
 #include <algorithm>
-#include <numeric>
+#include <string_view>
+#include <unordered_set>
 
 namespace jackdawpick::fleet
 {
@@ -129,7 +130,7 @@
 
 void endpoint_pool::setPeerLoads(const std::string &peer, const endpoint_loads &loads, time_point now)
 {
-    m_peers[peer] = {.loads = {loads.begin(), loads.end()}, .receivedAt = now};
+    m_peers[peer] = {.loads = loads, .receivedAt = now};
 }
 
 void endpoint_pool::removePeer(const std::string &peer)
@@ -235,12 +236,19 @@
     const auto typical = typicalTimes(service);
     double inFlight = 0;
     double slots = 0;
+    std::unordered_set<std::string_view> usable;
     for (const auto &[id, value] : m_endpoints) {
         if (value.entry.service == service && isUsable(value, now)) {
-            inFlight += totalInFlight(value, now);
+            usable.insert(id);
+            inFlight += value.inFlight;
             slots += capacityOf(value, typical.service) / slowdownOf(value, typical, now);
         }
     }
+    for (const auto &[name, peer] : m_peers) {
+        for (const auto &[id, load] : peer.loads) {
+            inFlight += usable.contains(id) ? load : 0;
+        }
+    }
     return slots > 0 ? inFlight / slots : 0;
 }
 
@@ -275,17 +283,6 @@
     return isListed && !entry.draining && !value.misdirected && !isLeaving({entry.id, entry.born});
 }
 
-std::uint32_t endpoint_pool::totalInFlight(const endpoint &value, time_point now) const
-{
-    return std::accumulate(m_peers.begin(), m_peers.end(), value.inFlight, [&](std::uint32_t sum, const auto &peer) {
-        if (now - peer.second.receivedAt > peerReportLifetime) {
-            return sum;
-        }
-        const auto found = peer.second.loads.find(value.entry.id);
-        return found == peer.second.loads.end() ? sum : sum + found->second;
-    });
-}
-
 std::uint32_t endpoint_pool::connectionLimit(const std::string &service) const
 {
     const auto found = m_connectionLimits.find(service);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -21,7 +21,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace jackdawpick::fleet
@@ -120,8 +119,6 @@
     // How long an endpoint stays in use after its entry disappeared while the store was unavailable: endpoints that are
     // still running register again within this time.
     static constexpr std::chrono::milliseconds expiryGrace{2000};
-    // Loads reported by a peer are ignored once its last report is older than this.
-    static constexpr std::chrono::milliseconds peerReportLifetime{2000};
     // How long a connection is assumed to stay open after its last request.
     static constexpr std::chrono::milliseconds idleConnectionLifetime{3000};
 
@@ -153,6 +150,8 @@
     void setRateLimit(const std::string &id, std::optional<double> rate);
     // Excludes an endpoint with a rate limit from selection until then: no permit is available before.
     void blockUntil(const std::string &id, time_point when);
+    // The loads that a peer has reported count until its next report or its removal: with many daemons reports are
+    // rare.
     void setPeerLoads(const std::string &peer, const endpoint_loads &loads, time_point now);
     void removePeer(const std::string &peer);
 
@@ -206,7 +205,7 @@
 
     struct peer_report
     {
-        std::unordered_map<std::string, std::uint32_t> loads;
+        endpoint_loads loads;
         time_point receivedAt;
     };
 
@@ -226,7 +225,6 @@
     };
 
     [[nodiscard]] bool isUsable(const endpoint &value, time_point now) const;
-    [[nodiscard]] std::uint32_t totalInFlight(const endpoint &value, time_point now) const;
     // Estimates the requests in flight from all daemons at each usable endpoint of the service, in the order of
     // m_endpoints. Peers' requests end and are replaced after their report: the older a report is, compared to the
     // service time, the less it tells where the requests are, and the more evenly they are assumed to be spread.
--- a/src/fleet/fleet_test.cc
+++ b/src/fleet/fleet_test.cc
@@ -170,7 +170,7 @@
     EXPECT_EQ(chosen(model), "b");
     pool.setPeerLoads("peer", {{"b", 2}}, clock.now());
     EXPECT_EQ(chosen(model), "a");
-    clock.advance(3s); // The report is too old.
+    clock.advance(3s); // The report is too old to tell where the requests are.
     pool.onDispatched("a", clock.now());
     EXPECT_EQ(chosen(model), "b");
 }
@@ -354,4 +354,20 @@
     EXPECT_EQ(chosenBy(one, turn, 0), home);
 }
 
+// Guards against loads that vanish between two heartbeats: with 195 daemons these are 2.3 s apart.
+TEST(Utilisation, CountsLoadsOfPeersUntilTheirNextReport)
+{
+    manual_clock clock;
+    endpoint_pool pool;
+    pool.upsert({.id = "a", .service = "s", .address = "1", .zone = "z", .slots = 4}, clock.now());
+    pool.setPeerLoads("peer-1", {{"a", 2}}, clock.now());
+    pool.setPeerLoads("peer-2", {{"a", 4}, {"unknown", 7}}, clock.now());
+    clock.advance(std::chrono::milliseconds(2400));
+    EXPECT_DOUBLE_EQ(pool.utilisation("s", clock.now()), 1.5);
+    pool.setPeerLoads("peer-1", {}, clock.now());
+    EXPECT_DOUBLE_EQ(pool.utilisation("s", clock.now()), 1.0);
+    pool.removePeer("peer-2");
+    EXPECT_DOUBLE_EQ(pool.utilisation("s", clock.now()), 0.0);
+}
+
 } // namespace jackdawpick::fleet
--- a/src/fleet/placement.cc
+++ b/src/fleet/placement.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <numeric>
 #include <string_view>
+#include <unordered_map>
 #include <xxhash.h>
 
 namespace jackdawpick::fleet
@@ -112,9 +113,6 @@
     double spread = 0;
     for (const auto &[name, peer] : m_peers) {
         const std::chrono::duration<double, std::milli> age = now - peer.receivedAt;
-        if (age > peerReportLifetime) {
-            continue;
-        }
         const double weight = std::exp(-age.count() / std::max(typical.service, minServiceTime));
         for (const auto &[id, load] : peer.loads) {
             if (const auto found = indices.find(id); found != indices.end()) {
