Use no permit after its time because the process stood still

A daemon that stood still after asking for a permit read the reply seconds later and sent the request, although the issuer had counted it for the time before. A reply that is read after the time for the answer counts as none.

After: it passes. gateway_world can freeze daemons, and take the power from hosts, for this and the following tests.

--- a/src/gateway/endpoint_limits.cc
+++ b/src/gateway/endpoint_limits.cc
@@ -139,8 +139,14 @@
 void gateway::implementation::on(link_id /*link*/, const peers::permit_reply &message, time_point now)
 {
     const auto node = m_pendingPermits.extract(message.id);
-    if (auto *context = node ? findRequest(node.mapped().caller) : nullptr; context != nullptr) {
+    auto *context = node ? findRequest(node.mapped().caller) : nullptr;
+    if (context == nullptr) {
+        return;
+    }
+    if (now < node.mapped().deadline) {
         onPermitDecided(*context, message.decision, now);
+    } else {
+        onPermitUnanswered(*context, now); // It is for a time that has passed while this process did not run.
     }
 }
 
--- a/src/gateway/endpoint_limits_test.cc
+++ b/src/gateway/endpoint_limits_test.cc
@@ -150,6 +150,32 @@
     EXPECT_GE(servedShare(), 0.99);
 }
 
+// Guards against a permit that is used seconds after it was issued, by a process that stood still meanwhile: the issuer
+// counts it for the time at which it was issued.
+TEST_P(limited_shop, APermitIsNotUsedAfterAPause)
+{
+    limit(shops, 1);
+    load(40, 4s);
+    world.runFor(4s);
+    int paused = 0;
+    for (int i = 0; i < GetParam(); ++i) {
+        world.send(i, shopRequest("/read/x", fmt::format("paused-{}", i)));
+        world.runFor(4ms); // The permit is asked for, and issued; the reply has not been read.
+        if (world.runsOf(fmt::format("paused-{}", i)) == 0) {
+            world.freeze(i);
+            world.runFor(2s);
+            const int before = world.logLinesOf("request_dispatched");
+            world.thaw(i);
+            EXPECT_EQ(world.logLinesOf("request_dispatched"), before) << "daemon " << i;
+            ++paused;
+        }
+        if (paused == 4) {
+            break;
+        }
+    }
+    EXPECT_EQ(paused, 4);
+}
+
 INSTANTIATE_TEST_SUITE_P(Daemons, limited_shop, ::testing::Values(9, 80));
 
 // Guards against new programs that take the permits of programs under way.
--- a/src/gateway/testing/gateway_world.cc
+++ b/src/gateway/testing/gateway_world.cc
@@ -13,6 +13,9 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds linkDelay{2};
+// How long a daemon takes to lose a link to a host without power, and to give up connecting to it.
+constexpr milliseconds silentLinkTimeout{3000};
+constexpr milliseconds connectTimeout{2000};
 
 const store::partition configurationPartition{"configuration", 0};
 const store::partition endpointPartition{"endpoints", 0};
@@ -83,26 +86,75 @@
     options.layout.partsPerTopic = m_options.parts;
     options.seed = m_random();
     ++state.incarnation;
+    state.poweredOff = false;
+    state.frozen = false;
+    state.held.clear();
     state.core = std::make_unique<gateway>(std::move(options));
     deliver(daemon, state.incarnation, tick{});
 }
 
 void gateway_world::kill(int daemon)
+{
+    stop(daemon, 0ms);
+}
+
+void gateway_world::powerOff(int daemon)
+{
+    stop(daemon, silentLinkTimeout);
+    m_daemons.at(static_cast<std::size_t>(daemon)).poweredOff = true;
+}
+
+void gateway_world::stop(int daemon, milliseconds linkLossDelay)
 {
     auto &state = m_daemons.at(static_cast<std::size_t>(daemon));
     ++state.incarnation;
     state.core.reset();
-    state.wakeAt.reset();
+    setWakeAt(daemon, std::nullopt);
     dropCallers(daemon);
     std::erase_if(m_activeDispatches, [daemon](const auto &entry) { return entry.first == daemon; });
     const auto links = m_links;
     for (const auto &[end, other] : links) {
-        if (end.first == daemon) {
-            m_links.erase(end);
-            m_links.erase({other.daemon, other.id});
-            deliver(other.daemon, m_daemons.at(static_cast<std::size_t>(other.daemon)).incarnation,
-                    link_closed{other.id});
+        if (end.first != daemon) {
+            continue;
         }
+        m_links.erase(end);
+        m_links.erase({other.daemon, other.id});
+        const int incarnation = m_daemons.at(static_cast<std::size_t>(other.daemon)).incarnation;
+        schedule(linkLossDelay, [=, this] { deliver(other.daemon, incarnation, link_closed{other.id}); });
+    }
+}
+
+void gateway_world::freeze(int daemon)
+{
+    m_daemons.at(static_cast<std::size_t>(daemon)).frozen = true;
+    setWakeAt(daemon, std::nullopt);
+}
+
+void gateway_world::thaw(int daemon)
+{
+    auto &state = m_daemons.at(static_cast<std::size_t>(daemon));
+    state.frozen = false;
+    for (auto &input : std::exchange(state.held, {})) {
+        deliver(daemon, state.incarnation, std::move(input));
+    }
+    deliver(daemon, state.incarnation, tick{});
+}
+
+bool gateway_world::names(int daemon, int other) const
+{
+    const auto addresses = m_daemons.at(static_cast<std::size_t>(daemon)).core->directory(now());
+    return std::ranges::find(addresses, fmt::format("caller-{}", other)) != addresses.end();
+}
+
+void gateway_world::setWakeAt(int daemon, std::optional<time_point> when)
+{
+    auto &current = m_daemons.at(static_cast<std::size_t>(daemon)).wakeAt;
+    if (current.has_value()) {
+        m_wakes.erase({*current, daemon});
+    }
+    current = when;
+    if (when.has_value()) {
+        m_wakes.insert({*when, daemon});
     }
 }
 
@@ -126,6 +178,11 @@
     return m_daemons.at(static_cast<std::size_t>(daemon)).core != nullptr;
 }
 
+bool gateway_world::isFrozen(int daemon) const
+{
+    return m_daemons.at(static_cast<std::size_t>(daemon)).frozen;
+}
+
 gateway &gateway_world::core(int daemon)
 {
     return *m_daemons.at(static_cast<std::size_t>(daemon)).core;
@@ -145,20 +202,15 @@
 {
     const auto end = now() + time;
     while (true) {
-        auto next = m_queue.empty() ? time_point::max() : m_queue.top().at;
-        int waking = -1;
-        for (std::size_t i = 0; i < m_daemons.size(); ++i) {
-            const auto wake = m_daemons[i].wakeAt.value_or(time_point::max());
-            if (wake < next) {
-                next = wake;
-                waking = static_cast<int>(i);
-            }
-        }
+        const auto nextTask = m_queue.empty() ? time_point::max() : m_queue.top().at;
+        const auto nextWake = m_wakes.empty() ? time_point::max() : m_wakes.begin()->first;
+        const auto next = std::min(nextTask, nextWake);
         if (next > end) {
             break;
         }
         m_clock.advanceTo(next);
-        if (waking >= 0) {
+        if (nextWake < nextTask) {
+            const int waking = m_wakes.begin()->second;
             deliver(waking, m_daemons[static_cast<std::size_t>(waking)].incarnation, tick{});
         } else {
             const auto task = m_queue.top().task;
@@ -175,12 +227,16 @@
     if (state.incarnation != incarnation || state.core == nullptr) {
         return;
     }
+    if (state.frozen) {
+        state.held.push_back(std::move(input));
+        return;
+    }
     auto effects = state.core->handle(std::move(input), now());
     for (auto &effect : effects) {
         apply(daemon, effect);
     }
     if (state.incarnation == incarnation && state.core != nullptr) {
-        state.wakeAt = state.core->nextDeadline();
+        setWakeAt(daemon, state.core->nextDeadline());
     }
 }
 
@@ -408,9 +464,12 @@
 {
     const int other = daemonAt(output.address);
     const int incarnation = m_daemons.at(static_cast<std::size_t>(daemon)).incarnation;
+    ++connectAttempts[other];
     const bool canConnect = other >= 0 && isRunning(other) && !blockedLinks.contains({daemon, other});
     if (!canConnect) {
-        schedule(linkDelay, [=, this] { deliver(daemon, incarnation, link_closed{output.link}); });
+        const bool silent = other >= 0 && m_daemons.at(static_cast<std::size_t>(other)).poweredOff;
+        schedule(silent ? connectTimeout : linkDelay,
+                 [=, this] { deliver(daemon, incarnation, link_closed{output.link}); });
         return;
     }
     constexpr std::uint64_t linkIdStep = 2;
@@ -427,6 +486,7 @@
 
 void gateway_world::on(int daemon, const send_message &output)
 {
+    heartbeats += std::holds_alternative<peers::heartbeat>(output.content) ? 1 : 0;
     const auto found = m_links.find({daemon, output.link});
     if (found == m_links.end() || blockedLinks.contains({daemon, found->second.daemon})) {
         return;
--- a/src/gateway/testing/gateway_world.h
+++ b/src/gateway/testing/gateway_world.h
@@ -139,10 +139,18 @@
     caller_response &sendAndWait(int daemon, caller_request request);
     void disconnect(const caller_response &response); // The caller closes its connection.
     void kill(int daemon);
+    // As kill(), but the host is silent: its links are not closed, and attempts to connect to it are not answered.
+    void powerOff(int daemon);
+    // The process stands still; what arrives meanwhile is handled at thaw(), before the timers that are due.
+    void freeze(int daemon);
+    void thaw(int daemon);
     void start(int daemon);
     void shutdown(int daemon);
     [[nodiscard]] bool isRunning(int daemon) const;
+    [[nodiscard]] bool isFrozen(int daemon) const;
     [[nodiscard]] gateway &core(int daemon);
+    // Whether the directory of the daemon names the other one.
+    [[nodiscard]] bool names(int daemon, int other) const;
 
     // Overwrites a record with a copy of another one of the same partition.
     void replaceRecord(const store::partition &where, std::uint64_t offset, std::uint64_t copyOf);
@@ -180,6 +188,8 @@
     std::vector<std::string> cancelledAttempts; // Attempts that a gateway cancelled at an endpoint.
     std::size_t readOverheadBytes = 0; // The store takes these off the size that a read of turns asks for.
     int storeCalls = 0;
+    std::map<int, int> connectAttempts; // Attempts to open a link, by the daemon that is connected to.
+    int heartbeats = 0; // Sent by all daemons.
     std::map<std::string_view, int> storeCallCounts; // By the name of the call.
     std::size_t appendedBytes = 0; // By all appends to topics of turns.
     std::size_t readBytes = 0; // By all reads of topics of turns.
@@ -190,6 +200,9 @@
         std::unique_ptr<gateway> core;
         int incarnation = 0; // Events for an earlier incarnation are dropped.
         std::optional<time_point> wakeAt;
+        bool poweredOff = false;
+        bool frozen = false;
+        std::vector<event> held; // What has arrived since the process stands still.
     };
 
     struct scheduled_task
@@ -210,6 +223,8 @@
     };
 
     [[nodiscard]] bool isFullFor(std::size_t bytes) const;
+    void setWakeAt(int daemon, std::optional<time_point> when);
+    void stop(int daemon, std::chrono::milliseconds linkLossDelay);
 
     struct link_side
     {
@@ -263,6 +278,7 @@
     std::uint64_t m_lastSequence = 0;
     std::priority_queue<scheduled_task, std::vector<scheduled_task>, std::greater<>> m_queue;
     std::vector<daemon_state> m_daemons;
+    std::set<std::pair<time_point, int>> m_wakes; // When daemons have timers that are due.
     std::map<store::partition, stored_partition> m_partitions;
     std::size_t m_storedBytes = 0;
     std::map<std::string, routing::configuration> m_publishedConfigurations; // By their text in the store.
