Count the time for which the host was suspended

The platform says that the steady clock does not count the time for which a machine is suspended, while the boot time does. All deadlines, permits and ages of heartbeats used the steady clock, so that a daemon on a host that had been suspended went on with permits, views of the other daemons and deadlines of seconds ago. The clock of the daemons is now the boot time; the loop's wake-ups use the same one.

Before: the daemon asked for no other clock (read in the code).

--- a/src/clock/clock.cc
+++ b/src/clock/clock.cc
@@ -5,9 +5,16 @@
 namespace jackdawpick
 {
 
+system_clock_source::system_clock_source(clock_reader reader)
+    : m_reader(reader)
+{
+}
+
 time_point system_clock_source::now() const
 {
-    return std::chrono::steady_clock::now();
+    timespec elapsed{};
+    m_reader(CLOCK_BOOTTIME, &elapsed); // Cannot fail: the clock exists since Linux 2.6.39.
+    return time_point(std::chrono::seconds(elapsed.tv_sec) + std::chrono::nanoseconds(elapsed.tv_nsec));
 }
 
 time_point manual_clock::now() const
--- a/src/clock/clock.h
+++ b/src/clock/clock.h
@@ -7,6 +7,7 @@
 //   jackdawpick::time_point now = clock.now();
 
 #include <chrono>
+#include <ctime>
 
 namespace jackdawpick
 {
@@ -22,11 +23,19 @@
     [[nodiscard]] virtual time_point now() const = 0;
 };
 
-// The monotonic clock of the operating system.
+// The monotonic clock of the operating system that also counts the time for which the host was suspended: deadlines and
+// permissions run out meanwhile, and the steady clock would not show it.
 class system_clock_source final : public clock_source
 {
 public:
+    // Reads a clock of the system as clock_gettime() does.
+    using clock_reader = int (*)(clockid_t, timespec *);
+
+    explicit system_clock_source(clock_reader reader = &clock_gettime);
     [[nodiscard]] time_point now() const override;
+
+private:
+    clock_reader m_reader;
 };
 
 // A clock that moves only when told to. Starts one hour after the epoch so that subtraction never underflows.
--- a/src/net/net.cc
+++ b/src/net/net.cc
@@ -161,7 +161,7 @@
         m_impl->wake.stop();
         return;
     }
-    const auto wait = *when - std::chrono::steady_clock::now();
+    const auto wait = *when - system_clock_source().now();
     m_impl->wake.start(std::chrono::ceil<std::chrono::microseconds>(wait));
 }
 
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -178,7 +178,7 @@
     // Calls `task` once after `delay`, or again and again every `interval`.
     void after(std::chrono::milliseconds delay, std::function<void()> task);
     void every(std::chrono::milliseconds interval, std::function<void()> task);
-    // Replaces the one wake-up time of the owner of the loop.
+    // Replaces the one wake-up time of the owner of the loop, by the clock of system_clock_source.
     void wakeAt(std::optional<time_point> when, std::function<void()> task);
     // SIGTERM and SIGINT go to `terminate`, SIGHUP goes to `reload`.
     void onSignals(std::function<void()> terminate, std::function<void()> reload = {});
--- a/src/net/net_test.cc
+++ b/src/net/net_test.cc
@@ -518,8 +518,8 @@
 TEST_F(net_test, TimersWakeUpsAndSignals)
 {
     std::string order;
-    loop.wakeAt(std::chrono::steady_clock::now() + 1h, [&] { order += "never"; });
-    loop.wakeAt(std::chrono::steady_clock::now() - 1s, [&] { order += "w"; });
+    loop.wakeAt(system_clock_source().now() + 1h, [&] { order += "never"; });
+    loop.wakeAt(system_clock_source().now() - 1s, [&] { order += "w"; });
     loop.after(20ms, [&] { order += "2"; });
     loop.after(10ms, [&] { order += "1"; });
     loop.after(30ms, [] { ::raise(SIGTERM); });
