Name daemons of the caller's zone in large deployments

Callers read 64 addresses; the directory gave all 195, in the order of their names, so that callers of all five zones used the hosts of two, and the rest had none. The directory now names at most 64: above that, an equal share for each zone, of the hosts in the zone of the caller, and of others if that zone has fewer. All daemons choose the same ones, so that the number of hosts with connections to the endpoints stays near 64.

Before: no test; the directory had 195 addresses.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -2,6 +2,9 @@
 
 #include "gateway/internal/implementation.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace jackdawpick::gateway
 {
 
@@ -44,9 +47,16 @@
     return m_impl->ready();
 }
 
-std::vector<std::string> gateway::directory(time_point now) const
+std::vector<std::string> gateway::directory(std::string_view callerZone, time_point now) const
+{
+    return m_impl->directory(callerZone, now);
+}
+
+std::vector<std::string> gateway::readyDaemons(time_point now) const
 {
-    return m_impl->directory(now);
+    std::vector<std::string> names;
+    std::ranges::transform(m_impl->readyDaemons(now), std::back_inserter(names), &internal::listed_daemon::name);
+    return names;
 }
 
 gateway_status gateway::status(time_point now) const
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -77,8 +77,10 @@
 
     // Whether this daemon accepts requests from callers.
     [[nodiscard]] bool ready() const;
-    // Caller addresses of all daemons that accept requests, this one included.
-    [[nodiscard]] std::vector<std::string> directory(time_point now) const;
+    // The addresses to which a caller in this zone connects.
+    [[nodiscard]] std::vector<std::string> directory(std::string_view callerZone, time_point now) const;
+    // Names of all daemons that accept requests, this one included.
+    [[nodiscard]] std::vector<std::string> readyDaemons(time_point now) const;
     [[nodiscard]] gateway_status status(time_point now) const;
     // The state as JSON text, for operators.
     [[nodiscard]] std::string dump(time_point now) const;
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -10,6 +10,7 @@
 #include "admission/admission.h"
 #include "gateway/gateway.h"
 #include "gateway/internal/keyed_watch.h"
+#include "gateway/internal/named_daemons.h"
 #include "gateway/internal/peer_table.h"
 #include "gateway/internal/request_context.h"
 #include "gateway/internal/store_access.h"
@@ -34,7 +35,9 @@
     std::vector<effect> handle(event input, time_point now);
     [[nodiscard]] std::optional<time_point> nextDeadline() const;
     [[nodiscard]] bool ready() const;
-    [[nodiscard]] std::vector<std::string> directory(time_point now) const;
+    [[nodiscard]] std::vector<std::string> directory(std::string_view callerZone, time_point now) const;
+    // Those that accept requests, this one included.
+    [[nodiscard]] std::vector<internal::listed_daemon> readyDaemons(time_point now) const;
     [[nodiscard]] gateway_status status(time_point now) const;
     [[nodiscard]] std::string dump(time_point now) const;
 
--- a/src/gateway/shutdown.cc
+++ b/src/gateway/shutdown.cc
@@ -25,24 +25,29 @@
     return m_table != nullptr && !m_shutdownBegan.has_value();
 }
 
-// Daemons without a path to the endpoints are left out, unless they are most: the others could not serve all callers,
-// while relaying a request costs them less than serving its caller.
-std::vector<std::string> gateway::implementation::directory(time_point now) const
+std::vector<internal::listed_daemon> gateway::implementation::readyDaemons(time_point now) const
 {
-    auto listed = m_peers.ready(now);
+    std::vector<internal::listed_daemon> daemons;
+    std::ranges::transform(m_peers.ready(now), std::back_inserter(daemons), [](const auto &peer) {
+        return internal::listed_daemon{.name = peer.name,
+                                       .zone = peer.zone,
+                                       .callerAddress = peer.callerAddress,
+                                       .reachesEndpoints = peer.reachesEndpoints};
+    });
     if (ready()) {
-        listed.push_back({.name = m_options.self.name,
-                          .zone = m_options.self.zone,
-                          .callerAddress = m_options.self.callerAddress,
-                          .link = std::nullopt,
-                          .reachesEndpoints = !m_paths.isCutOff()});
-    }
-    const auto reaching = std::ranges::count_if(listed, &internal::peer_table::ready_peer::reachesEndpoints);
-    if (static_cast<std::size_t>(reaching) * 2 >= listed.size()) {
-        std::erase_if(listed, [](const auto &peer) { return !peer.reachesEndpoints; });
+        daemons.push_back({.name = m_options.self.name,
+                           .zone = m_options.self.zone,
+                           .callerAddress = m_options.self.callerAddress,
+                           .reachesEndpoints = !m_paths.isCutOff()});
     }
+    return daemons;
+}
+
+std::vector<std::string> gateway::implementation::directory(std::string_view callerZone, time_point now) const
+{
     std::vector<std::string> addresses;
-    std::ranges::transform(listed, std::back_inserter(addresses), [](const auto &peer) { return peer.callerAddress; });
+    std::ranges::transform(internal::selectNamed(readyDaemons(now), callerZone), std::back_inserter(addresses),
+                           &internal::listed_daemon::callerAddress);
     if (addresses.empty()) {
         addresses.push_back(m_options.self.callerAddress);
     }
--- a/src/gateway/testing/gateway_world.cc
+++ b/src/gateway/testing/gateway_world.cc
@@ -140,10 +140,10 @@
     deliver(daemon, state.incarnation, tick{});
 }
 
-bool gateway_world::names(int daemon, int other) const
+bool gateway_world::counts(int daemon, int other) const
 {
-    const auto addresses = m_daemons.at(static_cast<std::size_t>(daemon)).core->directory(now());
-    return std::ranges::find(addresses, fmt::format("caller-{}", other)) != addresses.end();
+    const auto names = m_daemons.at(static_cast<std::size_t>(daemon)).core->readyDaemons(now());
+    return std::ranges::find(names, fmt::format("daemon-{}", other)) != names.end();
 }
 
 void gateway_world::setWakeAt(int daemon, std::optional<time_point> when)
--- a/src/gateway/testing/gateway_world.h
+++ b/src/gateway/testing/gateway_world.h
@@ -149,8 +149,8 @@
     [[nodiscard]] bool isRunning(int daemon) const;
     [[nodiscard]] bool isFrozen(int daemon) const;
     [[nodiscard]] gateway &core(int daemon);
-    // Whether the directory of the daemon names the other one.
-    [[nodiscard]] bool names(int daemon, int other) const;
+    // Whether the daemon counts the other one among those that accept requests.
+    [[nodiscard]] bool counts(int daemon, int other) const;
 
     // Overwrites a record with a copy of another one of the same partition.
     void replaceRecord(const store::partition &where, std::uint64_t offset, std::uint64_t copyOf);
--- a/src/gateway_daemon/gateway_daemon.cc
+++ b/src/gateway_daemon/gateway_daemon.cc
@@ -209,7 +209,8 @@
         switch (platform::decodeControlRequest(request)) {
         case platform::control_request::Directory:
             respond(request.id,
-                    platform::encodeDirectory(m_gateway.directory(m_clock.now()), m_settings.directoryLifetime));
+                    platform::encodeDirectory(m_gateway.directory(platform::decodeCallerZone(request), m_clock.now()),
+                                              m_settings.directoryLifetime));
             return;
         case platform::control_request::Readiness:
             respond(request.id, platform::encodeReadiness(m_gateway.ready()));
