Close one link, not the process, on a message beyond a frame

A message to a peer that is larger than a frame (16 MB, as a response with the history of a long program may be) made encodeFrame() throw within an effect, and the loop ends on any exception. The message is now logged and dropped with its link, so that whoever waits for a reply learns it.

Before: framed_links_test.MessageBeyondAFrameClosesItsLinkOnly failed (the loop threw). After: it passes.

--- a/src/gateway_daemon/framed_links.cc
+++ b/src/gateway_daemon/framed_links.cc
@@ -67,9 +67,18 @@
 void framed_links::send(const gateway::send_message &effect)
 {
     const auto found = m_links.find(effect.link);
-    if (found != m_links.end()) {
-        m_loop.send(found->second.stream, framing::encodeFrame(peers::encodeMessage(effect.content)));
+    if (found == m_links.end()) {
+        return;
     }
+    const auto payload = peers::encodeMessage(effect.content);
+    if (payload.size() <= framing::maxPayloadBytes) {
+        m_loop.send(found->second.stream, framing::encodeFrame(payload));
+        return;
+    }
+    // Whoever waits for a reply learns from the end of the link that none comes.
+    logging::write(log_level::Error, "peer_message_too_large",
+                   {{"link", static_cast<std::uint64_t>(effect.link)}, {"bytes", payload.size()}});
+    m_loop.after(std::chrono::milliseconds(0), [this, link = effect.link] { drop(link); });
 }
 
 void framed_links::close(const gateway::close_link &effect)
--- a/src/gateway_daemon/framed_links_test.cc
+++ b/src/gateway_daemon/framed_links_test.cc
@@ -58,4 +58,25 @@
         events, [](const auto &event) { return std::holds_alternative<gateway::link_closed>(event); }));
 }
 
+// Guards against a daemon that ends because one of its own messages is too large for a frame.
+TEST_F(framed_links_test, MessageBeyondAFrameClosesItsLinkOnly)
+{
+    std::vector<gateway::event> events;
+    framed_links links(loop, [&](gateway::event event) { events.push_back(std::move(event)); });
+    links.listen({.port = port});
+    constexpr gateway::link_id outgoing{1};
+    links.open({.link = outgoing, .address = fmt::format("127.0.0.1:{}", port)});
+    loop.after(50ms, [&] {
+        links.send({outgoing, peers::turn_reply{.history = std::string(framing::maxPayloadBytes + 1, 'a')}});
+    });
+    loop.after(200ms, [this] { loop.stop(); });
+    EXPECT_NO_THROW(loop.run());
+    EXPECT_EQ(std::ranges::count_if(events,
+                                    [](const auto &event) {
+                                        const auto *closed = std::get_if<gateway::link_closed>(&event);
+                                        return closed != nullptr && closed->link == outgoing;
+                                    }),
+              1);
+}
+
 } // namespace jackdawpick
