Revert "Tell callers to come back later the longer the store is away"

With an outage of 5 s it fails with and without the change, since callers' last attempts fall into the 0.75 s in which the end of the outage is noticed; with one of 4.5 s it passes with and without. What would help is to notice the end sooner, and attempts that reach further.

--- a/src/gateway/budgets.cc
+++ b/src/gateway/budgets.cc
@@ -3,6 +3,7 @@
 // prevent two daemons from making conflicting decisions.
 
 #include "gateway/internal/implementation.h"
+#include "gateway/internal/retry_delays.h"
 
 #include <algorithm>
 #include <iterator>
@@ -15,6 +16,7 @@
 namespace
 {
 
+using internal::storeRetryDelay;
 using std::chrono::milliseconds;
 
 // How long a daemon may take for a decision, in addition to the time of storeCallsPerDecision store calls.
@@ -110,7 +112,7 @@
     const auto where = programPartition(context.request.program);
     const auto names = rankedDeciders(where, now);
     if (context.decidersAsked >= std::min<std::size_t>(names.size(), maxDeciders)) {
-        refuseRequest(context, result_code::BudgetUndecided, storeRetryDelay(now), now);
+        refuseRequest(context, result_code::BudgetUndecided, storeRetryDelay, now);
         return;
     }
     const auto &name = names[context.decidersAsked];
@@ -220,7 +222,7 @@
         onReservationDenied(context, reply, decider, now);
         return;
     case programs::budget_decision::Unavailable:
-        refuseRequest(context, result_code::BudgetUnavailable, storeRetryDelay(now), now);
+        refuseRequest(context, result_code::BudgetUnavailable, storeRetryDelay, now);
         return;
     case programs::budget_decision::Granted:
         break;
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -344,8 +344,6 @@
     void applyConnectionLimits(time_point now);
     [[nodiscard]] bool entriesMayHaveExpired(const internal::watch_update &update, time_point now) const;
     [[nodiscard]] bool storeAvailable(time_point now) const;
-    // When a caller is to come back that needs the store.
-    [[nodiscard]] std::chrono::milliseconds storeRetryDelay(time_point now) const;
     [[nodiscard]] std::optional<link_id> relayLink(time_point now) const;
     void startDueStoreCalls(time_point now);
     // daemon_records.cc
@@ -401,7 +399,6 @@
     bool m_registrationPending = false;
     time_point m_housekeepingAt{};
     bool m_storeSuspect = false; // The most recent direct calls failed.
-    std::optional<time_point> m_storeUnavailableSince; // Also through peers.
     bool m_storeWasReachable = true; // The state that was last logged.
     // The state of this daemon changed; peers are told without delay.
     internal::peer_table::urgency m_heartbeatDue = internal::peer_table::urgency::Regular;
--- a/src/gateway/platform_state.cc
+++ b/src/gateway/platform_state.cc
@@ -1,7 +1,6 @@
 // The durable log, the watches on its partitions, and the reports of the daemon's state.
 
 #include "gateway/internal/implementation.h"
-#include "gateway/internal/retry_delays.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -136,11 +135,6 @@
     return m_store.paths().isDirectPathUp(now) || relayLink(now).has_value();
 }
 
-milliseconds gateway::implementation::storeRetryDelay(time_point now) const
-{
-    return internal::storeRetryDelay(millisecondsBetween(m_storeUnavailableSince.value_or(now), now));
-}
-
 // Delivers the outputs of the components to each other until none is left.
 void gateway::implementation::processInternalOutputs(time_point now)
 {
@@ -173,11 +167,6 @@
             {{"relays", relayLink(now).has_value()}});
         requestHeartbeat(internal::peer_table::urgency::Soon);
     }
-    if (storeAvailable(now)) {
-        m_storeUnavailableSince.reset();
-    } else {
-        m_storeUnavailableSince = m_storeUnavailableSince.value_or(now);
-    }
     if (const auto change = m_store.room().takeChange(); change.has_value()) {
         log(change->full ? log_level::Warning : log_level::Info, change->full ? "store_full" : "store_has_room",
             {{"call", change->call},
--- a/src/gateway/requests.cc
+++ b/src/gateway/requests.cc
@@ -1,6 +1,7 @@
 // Arrival, refusal and completion of requests.
 
 #include "gateway/internal/implementation.h"
+#include "gateway/internal/retry_delays.h"
 
 #include <algorithm>
 #include <xxhash.h>
@@ -11,6 +12,7 @@
 namespace
 {
 
+using internal::storeRetryDelay;
 using std::chrono::milliseconds;
 
 // For requests without a deadline from the caller; the timeout of the route may shorten it.
@@ -92,7 +94,7 @@
 {
     const bool needsStore = hasBudget(context) || context.route->retainsTurns;
     if (needsStore && !storeAvailable(now)) {
-        refuseRequest(context, result_code::LogUnavailable, storeRetryDelay(now), now);
+        refuseRequest(context, result_code::LogUnavailable, storeRetryDelay, now);
         return;
     }
     context.historyPending = context.route->retainsTurns && !context.request.previousTurn.empty();
--- a/src/gateway/turns.cc
+++ b/src/gateway/turns.cc
@@ -1,6 +1,7 @@
 // Histories of agent programs: finds the text of the turns that a request continues.
 
 #include "gateway/internal/implementation.h"
+#include "gateway/internal/retry_delays.h"
 
 #include <algorithm>
 #include <charconv>
@@ -13,6 +14,7 @@
 namespace
 {
 
+using internal::storeRetryDelay;
 using std::chrono::milliseconds;
 
 // How long a request may wait for its history; after that a retry by the caller is more likely to succeed.
@@ -96,7 +98,7 @@
 {
     const auto &turn = context.request.previousTurn;
     if (!storeAvailable(now)) {
-        refuseRequest(context, result_code::LogUnavailable, storeRetryDelay(now), now);
+        refuseRequest(context, result_code::LogUnavailable, storeRetryDelay, now);
         return;
     }
     if (const auto *chain = m_turns.chainOf(turn); chain != nullptr) {
@@ -121,7 +123,7 @@
         context.useFallbackPartition = true;
         readHistoryFromStore(context, now);
     } else if (context.historyReadIncomplete) {
-        refuseRequest(context, result_code::HistoryUnavailable, storeRetryDelay(now), now);
+        refuseRequest(context, result_code::HistoryUnavailable, storeRetryDelay, now);
     } else {
         refuseRequest(context, result_code::UnknownTurn, std::nullopt, now);
     }
@@ -199,7 +201,7 @@
         readTurn(context, index, now);
         return;
     } else {
-        refuseRequest(context, result_code::HistoryUnavailable, storeRetryDelay(now), now);
+        refuseRequest(context, result_code::HistoryUnavailable, storeRetryDelay, now);
         return;
     }
     if (!std::ranges::all_of(read->records, [](const auto &entry) { return entry.has_value(); })) {
@@ -211,7 +213,7 @@
     if (!history.has_value()) {
         logRequest(log_level::Error, "history_inconsistent", context,
                    {{"turn", context.request.previousTurn}, {"records", records.size()}}, now);
-        refuseRequest(context, result_code::HistoryUnavailable, storeRetryDelay(now), now);
+        refuseRequest(context, result_code::HistoryUnavailable, storeRetryDelay, now);
         return;
     }
     programs::turn_chain chain{
