--- a/src/gateway/testing/gateway_world.cc
+++ b/src/gateway/testing/gateway_world.cc
@@ -117,10 +117,11 @@
         if (end.first != daemon) {
             continue;
         }
+        const link_side to = other;
         m_links.erase(end);
-        m_links.erase({other.daemon, other.id});
-        const int incarnation = m_daemons.at(static_cast<std::size_t>(other.daemon)).incarnation;
-        schedule(linkLossDelay, [=, this] { deliver(other.daemon, incarnation, link_closed{other.id}); });
+        m_links.erase({to.daemon, to.id});
+        const int incarnation = m_daemons.at(static_cast<std::size_t>(to.daemon)).incarnation;
+        schedule(linkLossDelay, [=, this] { deliver(to.daemon, incarnation, link_closed{to.id}); });
     }
 }
 
