--- a/src/gateway/testing/gateway_world.cc
+++ b/src/gateway/testing/gateway_world.cc
@@ -328,45 +328,6 @@
 
 // ---- Store ----
 
-void gateway_world::on(int daemon, const make_store_call &output)
-{
-    ++storeCalls;
-    ++storeCallCounts[store::nameOf(output.call)];
-    const int incarnation = m_daemons.at(static_cast<std::size_t>(daemon)).incarnation;
-    const auto &behaviour = storeBehaviours[daemon];
-    const auto reply = [=, this](milliseconds delay, const store::reply &result) {
-        schedule(delay, [=, this] { deliver(daemon, incarnation, store_replied{output.id, result}); });
-    };
-    const auto topic = std::visit([](const auto &body) { return body.where.topic; }, output.call);
-    if (behaviour.unavailable || unavailableTopics.contains(topic)) {
-        reply(output.timeout, store::failure::NoReply);
-        return;
-    }
-    if (behaviour.refuses) {
-        reply(1ms, store::failure::Refused);
-        return;
-    }
-    if (behaviour.full
-        && (std::holds_alternative<store::append_call>(output.call)
-            || std::holds_alternative<store::put_call>(output.call))) {
-        reply(1ms, store::failure::Full);
-        return;
-    }
-    const bool replyLost = std::uniform_real_distribution<double>(0, 1)(m_random) < behaviour.replyLossRate;
-    // A long poll always lasts its full time; no test depends on an earlier reply.
-    const auto *read = std::get_if<store::read_call>(&output.call);
-    const auto wait = read == nullptr ? 0ms : read->wait;
-    const auto oneWayDelay = behaviour.delay / 2;
-    schedule(oneWayDelay + wait, [=, this] {
-        const auto result = execute(output.call);
-        if (replyLost) {
-            reply(output.timeout, store::failure::NoReply);
-        } else {
-            reply(behaviour.delay - oneWayDelay, result);
-        }
-    });
-}
-
 store::reply gateway_world::execute(const store::call &call)
 {
     return std::visit([this](const auto &body) { return execute(body); }, call);
--- a/src/gateway/testing/gateway_world.h
+++ b/src/gateway/testing/gateway_world.h
@@ -108,6 +108,9 @@
     std::uint32_t parts = 12;
     std::uint32_t turnTopics = 80;
     std::size_t storeBytes = 0; // Appends are refused when the store holds this much; 0: no limit.
+    std::chrono::milliseconds appendTime{0}; // That each append to a partition takes, one after the other.
+    int writesPerSecond = 0; // Appends of all daemons that the store accepts; 0: no limit.
+    int readsPerSecond = 0; // Reads of all daemons that it accepts; 0: no limit.
     bool printLog = false; // Prints the log of all daemons, to debug a failing test.
 };
 
@@ -181,6 +184,7 @@
     std::map<std::string, double> endpointLimits; // Rate limits that endpoints state, by id.
     std::map<std::string, endless_response> endlessResponses; // By endpoint id; precede the behaviour.
     std::size_t endlessBytes = 0; // Sent in endless responses.
+    std::set<std::string> refusedKeyPrefixes; // The store refuses to write records with these keys.
     std::set<std::string> unavailableTopics; // The store never replies to calls for these topics.
     std::set<std::pair<int, int>> blockedLinks; // Daemons (from, to).
     std::map<int, path_behaviour> endpointPaths; // By daemon; Open if missing.
@@ -262,6 +266,8 @@
     // How often the endpoint has crashed. What it sent before its latest crash is lost.
     [[nodiscard]] int crashCountOf(const std::string &endpoint) const;
     void sendWithoutEnd(int daemon, int incarnation, dispatch_id dispatch, const std::string &piece);
+    [[nodiscard]] std::optional<store::failure> refusalOf(const store_behaviour &behaviour, const store::call &call);
+    [[nodiscard]] std::chrono::milliseconds appendWait(const store::call &call);
     store::reply execute(const store::call &call);
     store::reply execute(const store::append_call &call);
     store::reply execute(const store::put_call &call);
@@ -280,6 +286,18 @@
     std::vector<daemon_state> m_daemons;
     std::set<std::pair<time_point, int>> m_wakes; // When daemons have timers that are due.
     std::map<store::partition, stored_partition> m_partitions;
+    std::map<store::partition, time_point> m_appendingUntil;
+    // Calls that the store still accepts at this moment, of all daemons together.
+    struct call_allowance
+    {
+        double calls = 0;
+        time_point refilledAt{};
+
+        [[nodiscard]] bool take(int perSecond, time_point now);
+    };
+
+    call_allowance m_writesAllowed;
+    call_allowance m_readsAllowed;
     std::size_t m_storedBytes = 0;
     std::map<std::string, routing::configuration> m_publishedConfigurations; // By their text in the store.
     std::map<std::string, fleet::endpoint_entry> m_publishedEndpoints; // By their text in the store.
--- a/src/gateway/testing/world_store.cc
+++ b/src/gateway/testing/world_store.cc
@@ -9,6 +9,116 @@
 namespace jackdawpick::gateway::testing
 {
 
+namespace
+{
+
+using std::chrono::milliseconds;
+using namespace std::chrono_literals;
+
+// Appends to a partition are refused while the ones before take longer than this.
+constexpr milliseconds maxAppendWait{2000};
+// The time that a refusal takes.
+constexpr milliseconds refusalTime{1};
+
+const store::partition &partitionOf(const store::call &call)
+{
+    return std::visit([](const auto &body) -> const store::partition & { return body.where; }, call);
+}
+
+bool addsRecords(const store::call &call)
+{
+    return std::holds_alternative<store::append_call>(call) || std::holds_alternative<store::put_call>(call);
+}
+
+} // namespace
+
+void gateway_world::on(int daemon, const make_store_call &output)
+{
+    ++storeCalls;
+    ++storeCallCounts[store::nameOf(output.call)];
+    const int incarnation = m_daemons.at(static_cast<std::size_t>(daemon)).incarnation;
+    const auto reply = [=, this](milliseconds delay, const store::reply &result) {
+        schedule(delay, [=, this] { deliver(daemon, incarnation, store_replied{output.id, result}); });
+    };
+    const auto &behaviour = storeBehaviours[daemon];
+    if (behaviour.unavailable || unavailableTopics.contains(partitionOf(output.call).topic)) {
+        reply(output.timeout, store::failure::NoReply);
+        return;
+    }
+    if (const auto refusal = refusalOf(behaviour, output.call); refusal.has_value()) {
+        reply(refusalTime, *refusal);
+        return;
+    }
+    const bool replyLost = std::uniform_real_distribution<double>(0, 1)(m_random) < behaviour.replyLossRate;
+    // A long poll always lasts its full time; no test depends on an earlier reply.
+    const auto *read = std::get_if<store::read_call>(&output.call);
+    const auto wait = read == nullptr ? appendWait(output.call) : read->wait;
+    const auto oneWayDelay = behaviour.delay / 2;
+    const bool isLate = addsRecords(output.call) && behaviour.delay + wait > output.timeout;
+    schedule(oneWayDelay + wait, [=, this] {
+        const auto result = execute(output.call);
+        if (!replyLost && !isLate) {
+            reply(behaviour.delay - oneWayDelay, result);
+        } else if (replyLost) {
+            reply(output.timeout, store::failure::NoReply);
+        }
+    });
+    if (isLate && !replyLost) {
+        reply(output.timeout, store::failure::NoReply);
+    }
+}
+
+// Why the store does not execute the call, if it does not.
+std::optional<store::failure> gateway_world::refusalOf(const store_behaviour &behaviour, const store::call &call)
+{
+    const auto *put = std::get_if<store::put_call>(&call);
+    const bool isRefusedKey = put != nullptr
+        && std::ranges::any_of(refusedKeyPrefixes,
+                               [put](const std::string &prefix) { return put->key.starts_with(prefix); });
+    if (behaviour.refuses || isRefusedKey) {
+        return store::failure::Refused;
+    }
+    if (!addsRecords(call)) {
+        return m_readsAllowed.take(m_options.readsPerSecond, now()) ? std::nullopt
+                                                                    : std::optional(store::failure::RateLimited);
+    }
+    if (behaviour.full) {
+        return store::failure::Full;
+    }
+    if (!m_writesAllowed.take(m_options.writesPerSecond, now())) {
+        return store::failure::RateLimited;
+    }
+    const auto busyUntil = m_appendingUntil[partitionOf(call)];
+    return busyUntil - now() > maxAppendWait ? std::optional(store::failure::Refused) : std::nullopt;
+}
+
+// Takes one call if the limit of all daemons together allows it; 0 is no limit.
+bool gateway_world::call_allowance::take(int perSecond, time_point now)
+{
+    if (perSecond == 0) {
+        return true;
+    }
+    const std::chrono::duration<double> passed = now - refilledAt;
+    refilledAt = now;
+    calls = std::min(calls + passed.count() * perSecond, static_cast<double>(perSecond));
+    if (calls < 1) {
+        return false;
+    }
+    calls -= 1;
+    return true;
+}
+
+// How long the call waits for the appends to its partition before it, and for itself.
+milliseconds gateway_world::appendWait(const store::call &call)
+{
+    if (!addsRecords(call) || m_options.appendTime == 0ms) {
+        return 0ms;
+    }
+    auto &busyUntil = m_appendingUntil[partitionOf(call)];
+    busyUntil = std::max(busyUntil, now()) + m_options.appendTime;
+    return millisecondsBetween(now(), busyUntil);
+}
+
 store::reply gateway_world::execute(const store::trim_call &call)
 {
     auto &content = m_partitions[call.where];
