store: one refusing partition is no loss of the store

Calls to a refused partition go through a peer for a second; that the store refuses the same to the peer no longer marks the peer as one without a store. Failed writes of the records of daemons and of crashing requests are no evidence, since all daemons may make them at once. Entries of endpoints may have expired also while only their partition was refused. The probe reads 1 KB, not 1 MB.

--- a/src/gateway/internal/store_access.cc
+++ b/src/gateway/internal/store_access.cc
@@ -20,6 +20,15 @@
     return std::visit([](const auto &body) -> const store::partition & { return body.where; }, call);
 }
 
+// All daemons write to the partition of their records at about the same time, for example when all have started. That
+// such a write fails says nothing of the path.
+bool isEvidenceOfPath(const store_call_owner &owner, const store::reply &result)
+{
+    const bool isSharedRecord = std::holds_alternative<registration_owner>(owner)
+        || std::holds_alternative<crash_record_owner>(owner) || std::holds_alternative<gone_daemon_owner>(owner);
+    return store::isServed(result) || !isSharedRecord;
+}
+
 bool requiresDirectPath(const store_call_owner &owner)
 {
     return std::holds_alternative<peer_owner>(owner) || std::holds_alternative<probe_owner>(owner);
@@ -32,8 +41,8 @@
 {
     const bool isProbe = std::holds_alternative<probe_owner>(owner);
     const bool directOnly = requiresDirectPath(owner);
-    const auto path =
-        isProbe ? std::optional(store::path::Direct) : m_paths.choose(relay.has_value() && !directOnly, now);
+    const auto path = isProbe ? std::optional(store::path::Direct)
+                              : m_paths.choose(partitionOf(call), relay.has_value() && !directOnly, now);
     if (!path.has_value()) {
         m_completed.push_back({std::move(owner), store::failure::Refused});
     } else if (*path == store::path::Relay) {
@@ -63,7 +72,9 @@
     if (!node) {
         return;
     }
-    m_paths.onDirectReply(received.result, now);
+    if (isEvidenceOfPath(node.mapped().owner, received.result)) {
+        m_paths.onDirectReply(node.mapped().where, received.result, now);
+    }
     m_room.onReply(node.mapped().name, node.mapped().where, received.result, now);
     updateLatency(node.mapped(), received.result, now);
     m_completed.push_back({std::move(node.mapped().owner), received.result});
@@ -112,7 +123,8 @@
     }
     m_completed.push_back({std::move(found->second.owner), response.result});
     m_relayed.erase(found);
-    return store::isServed(response.result);
+    const auto *reason = std::get_if<store::failure>(&response.result);
+    return reason == nullptr || *reason != store::failure::NoReply;
 }
 
 void store_access::onLinkClosed(link_id link)
--- a/src/gateway/internal/store_access.h
+++ b/src/gateway/internal/store_access.h
@@ -104,7 +104,8 @@
     void start(store_call_owner owner, store::call call, std::optional<link_id> relay, time_point now,
                std::vector<effect> &out);
     void onDirectReply(const store_replied &received, time_point now);
-    // Returns false if the peer could not get the call served by the store.
+    // Returns false if the peer got no reply from the store. A refusal may be that of one partition; whether the store
+    // refuses the peer altogether is told by its heartbeats.
     bool onRelayReply(link_id link, const peers::store_response &response);
     void onLinkClosed(link_id link);
     // Completes relayed calls that have timed out and returns their links.
--- a/src/gateway/platform_state.cc
+++ b/src/gateway/platform_state.cc
@@ -256,8 +256,8 @@
     }
     if (m_store.paths().isSuspect(now) && m_probeAt <= now) {
         m_probeAt = time_point::max();
-        startStoreCall(internal::probe_owner{}, store::read_call{.where = m_options.layout.daemons, .keyed = true},
-                       now);
+        startStoreCall(internal::probe_owner{},
+                       store::read_call{.where = m_options.layout.daemons, .maxKilobytes = 1, .keyed = true}, now);
     }
     registerSelf(now);
 }
@@ -324,7 +324,9 @@
     const auto missing = update.allKeys.has_value() && update.allKeys->size() < m_pool.size()
         ? m_pool.size() - update.allKeys->size()
         : 0;
-    return m_store.paths().wasDownWithin(expiryWindow, now)
+    const auto &paths = m_store.paths();
+    return (paths.wasDownWithin(expiryWindow, now)
+            || paths.wasRefusedWithin(m_options.layout.endpoints, expiryWindow, now))
         && std::max(gone, missing) * expiredShareDivisor >= std::max<std::size_t>(m_pool.size(), 1);
 }
 
