gateway: one writer for the record of a request that crashes endpoints

A partition takes an append each 2 ms; five records of 195 daemons are 975 a second. In the trace 157 of 195 daemons write one record within 1.1 s, and 60 of the calls get no reply.

A schedule of its own: the first in rank writes, each next one half a second later, with the rank of the time at which the write is due; a repeat after 1 s, doubled up to 32 s with jitter; 50 writes a second over all daemons; none before a daemon has had time to connect to the others. Deletions of records that tell nothing wait for the same time and are looked at every 5 s; that they could be made by all daemons was read in the review and is not reproduced.

Ruled out: a lower rank limit alone, since ranks are all 0 in the first second.

--- a/src/gateway/crash_reports.cc
+++ b/src/gateway/crash_reports.cc
@@ -16,10 +16,6 @@
 
 // Keys of these records in the partition that also holds the addresses of the daemons, which all of them watch.
 constexpr std::string_view crashRecordPrefix = "crashing/";
-// One daemon writes a record; the next ones in rank do if it has not after this time each.
-constexpr milliseconds crashWriteDelayPerRank{500};
-constexpr std::ptrdiff_t maxCrashWriteRank = 3;
-constexpr milliseconds crashWriteRetryDelay{1000};
 constexpr milliseconds crashWriteCheckInterval{100};
 
 std::string crashRecordKey(std::uint64_t content)
@@ -198,7 +194,7 @@
 void gateway::implementation::writeCrashRecord(std::uint64_t content, std::string value, time_point now)
 {
     log(log_level::Info, value.empty() ? "crash_record_deleted" : "crash_record_written", {{"content", content}});
-    startStoreCall(internal::crash_record_owner{},
+    startStoreCall(internal::crash_record_owner{content},
                    store::put_call{m_options.layout.daemons, crashRecordKey(content), std::move(value)}, now);
 }
 
@@ -207,38 +203,31 @@
     writeCrashRecord(content, peers::encodeMessage(peers::run_reports{m_crashes.reportsOf(content, now), {}}), now);
 }
 
-void gateway::implementation::complete(const internal::crash_record_owner & /*owner*/, const store::reply &result,
+void gateway::implementation::complete(const internal::crash_record_owner &owner, const store::reply &result,
                                        time_point /*now*/)
 {
     // Written again unless the watch shows the record.
     if (const auto *reason = std::get_if<store::failure>(&result)) {
-        log(log_level::Warning, "crash_record_failed", {{"reason", store::nameOf(*reason)}});
+        log(log_level::Warning, "crash_record_failed",
+            {{"content", owner.content}, {"reason", store::nameOf(*reason)}});
     }
 }
 
 void gateway::implementation::writeDueCrashRecords(time_point now)
 {
-    if (m_crashes.unstored().empty()) {
-        m_crashWriteAt.clear();
-        return;
-    }
     if (now < m_crashCheckAt) {
         return;
     }
     m_crashCheckAt = now + crashWriteCheckInterval;
-    std::erase_if(m_crashWriteAt, [&](const auto &entry) { return !m_crashes.unstored().contains(entry.first); });
-    for (const auto content : m_crashes.unstored()) {
-        const auto key = crashRecordKey(content);
-        const auto [due, isNew] = m_crashWriteAt.try_emplace(content, now);
-        if (isNew) {
-            const auto names = rankedDaemons(key, now);
-            const auto rank = std::ranges::find(names, m_options.self.name) - names.begin();
-            due->second += crashWriteDelayPerRank * std::min(rank, maxCrashWriteRank);
-        }
-        if (due->second <= now) {
-            due->second = now + crashWriteRetryDelay;
-            storeCrashes(content, now);
-        }
+    if (!m_peers.hadTimeToConnect(now)) {
+        return; // Daemons that do not know each other yet all rank themselves first.
+    }
+    const auto rankOf = [&](std::uint64_t content) {
+        const auto names = rankedDaemons(crashRecordKey(content), now);
+        return static_cast<std::size_t>(std::ranges::find(names, m_options.self.name) - names.begin());
+    };
+    for (const auto content : m_crashWrites.takeDue(m_crashes.unstored(), rankOf, m_peers.size() + 1, now)) {
+        storeCrashes(content, now);
     }
 }
 
@@ -253,6 +242,7 @@
     if (!content.has_value()) {
         return false;
     }
+    m_emptyCrashRecords.erase(*content);
     if (record.value.empty()) {
         m_crashes.onRecordDeleted(*content, now);
         return true;
@@ -271,8 +261,8 @@
     m_crashes.onStored(*content,
                        static_cast<std::size_t>(std::ranges::count_if(
                            reports->reports, [](const auto &report) { return report.failed.has_value(); })));
-    if (m_crashes.reportsOf(*content, now).empty() && firstDaemon(record.key, now) == m_options.self.name) {
-        writeCrashRecord(*content, {}, now); // Of a success after which all daemons were started again.
+    if (m_crashes.reportsOf(*content, now).empty()) {
+        m_emptyCrashRecords.insert(*content); // Of a success after which all daemons were started again.
     }
     return true;
 }
@@ -288,6 +278,13 @@
             writeCrashRecord(content, {}, now);
         }
     }
+    if (m_peers.hadTimeToConnect(now)) {
+        for (const auto content : m_emptyCrashRecords) {
+            if (firstDaemon(crashRecordKey(content), now) == m_options.self.name) {
+                writeCrashRecord(content, {}, now);
+            }
+        }
+    }
     if (const auto dropped = m_crashes.takeDroppedSuspicions(); dropped > 0) {
         log(log_level::Warning, "unknown_outcomes_dropped", {{"requests", dropped}});
     }
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -12,6 +12,7 @@
 #include "gateway/internal/keyed_watch.h"
 #include "gateway/internal/named_daemons.h"
 #include "gateway/internal/peer_table.h"
+#include "gateway/internal/record_write_schedule.h"
 #include "gateway/internal/request_context.h"
 #include "gateway/internal/store_access.h"
 #include "gateway/internal/trim_marks.h"
@@ -370,8 +371,9 @@
     std::shared_ptr<const routing::route_table> m_table;
     fleet::endpoint_pool m_pool;
     crashes::crash_tracker m_crashes;
-    std::map<std::uint64_t, time_point> m_crashWriteAt; // Requests that are to be stored, and when by this daemon.
+    internal::record_write_schedule m_crashWrites; // Of the records of requests that crash endpoints.
     std::map<probe_id, endpoint_calls::endpoint_incarnation> m_verifications; // Probes of single endpoints.
+    std::set<std::uint64_t> m_emptyCrashRecords; // Contents whose records in the store tell nothing any more.
     time_point m_unprovenReportAt{};
     time_point m_crashCheckAt{};
     limits::limit_table m_limits;
--- a/src/gateway/internal/peer_table.cc
+++ b/src/gateway/internal/peer_table.cc
@@ -39,6 +39,7 @@
 {
     const auto pause = millisecondsBetween(m_lastEventAt.value_or(now), now);
     m_lastEventAt = now;
+    m_startedAt = m_startedAt.value_or(now);
     if (pause <= pauseThreshold) {
         return std::nullopt;
     }
@@ -492,6 +493,12 @@
     }
 }
 
+bool peer_table::hadTimeToConnect(time_point now) const
+{
+    return m_startedAt.has_value()
+        && now - *m_startedAt >= connectTime + linkSpreadPerPeer * static_cast<int>(m_peers.size());
+}
+
 std::size_t peer_table::size() const
 {
     return m_peers.size();
--- a/src/gateway/internal/peer_table.h
+++ b/src/gateway/internal/peer_table.h
@@ -47,6 +47,8 @@
     static constexpr int reconnectDelayDivisor = 4;
     // New links are opened over this time for each peer: daemons often start together.
     static constexpr std::chrono::milliseconds linkSpreadPerPeer{5};
+    // For the listing of the peers and the answers on new links, beside the time over which these are opened.
+    static constexpr std::chrono::milliseconds connectTime{1000};
     // Between two heartbeats to all peers that do not wait for the interval, unless the change must be known at once.
     static constexpr std::chrono::milliseconds minUrgentInterval{100};
     // Between two looks for peers that have become silent, dead or alive.
@@ -129,6 +131,8 @@
     // The peer on the link failed to serve a store call; it gets no further calls until its next heartbeat.
     void markStoreUnreachable(link_id link);
     [[nodiscard]] std::size_t size() const;
+    // Whether this daemon has run for the time in which it connects to all peers. Before, it knows few of those alive.
+    [[nodiscard]] bool hadTimeToConnect(time_point now) const;
     [[nodiscard]] std::chrono::milliseconds heartbeatInterval() const;
 
 private:
@@ -189,6 +193,7 @@
     std::map<link_id, std::string> m_incoming;
     std::uint64_t m_lastLink = 0;
     std::optional<time_point> m_lastEventAt;
+    std::optional<time_point> m_startedAt; // The first event.
     std::set<std::pair<time_point, std::string>> m_connects; // When links are to be opened, by the peer.
     std::vector<std::string> m_newPeers; // Their links are planned when all that came with them are known.
     std::optional<time_point> m_broadcastAt; // When the last heartbeat was sent to all.
--- a/src/gateway/internal/store_access.h
+++ b/src/gateway/internal/store_access.h
@@ -59,6 +59,7 @@
 // A record of a request that crashes endpoints.
 struct crash_record_owner
 {
+    std::uint64_t content = 0;
 };
 
 struct budget_owner
--- a/src/gateway/platform_state.cc
+++ b/src/gateway/platform_state.cc
@@ -40,6 +40,7 @@
 gateway::implementation::implementation(gateway_options options)
     : m_options(std::move(options))
     , m_random(m_options.seed)
+    , m_crashWrites(m_options.seed)
     , m_turns(m_options.turnCacheBytes, m_options.turnLocationRetention)
     , m_peers(m_options.self)
     , m_watches{makeWatch(m_options.layout.configuration, milliseconds(0), configurationLongPollTimeout),
