--- a/src/gateway/daemon_records.cc
+++ b/src/gateway/daemon_records.cc
@@ -3,6 +3,8 @@
 
 #include "gateway/internal/implementation.h"
 
+#include <algorithm>
+
 namespace jackdawpick::gateway
 {
 
@@ -12,7 +14,10 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+// Time before a failed registration is repeated; doubles with each failure in a row up to 8 s, since all daemons that
+// start on a store which refuses them repeat theirs. Up to this share of it is added at random.
 constexpr milliseconds registrationRetryDelay{500};
+constexpr double registrationJitter = 0.5;
 // A daemon that has been dead for this long is not expected back soon. Every other one tries to connect to it until its
 // record is removed; if it is back, it writes a new one.
 constexpr seconds goneAfter{20};
@@ -34,9 +39,15 @@
                                        time_point now)
 {
     m_registrationPending = false;
-    // The record is written once.
-    const bool done = std::holds_alternative<store::appended>(result);
-    m_registerAt = done ? time_point::max() : now + registrationRetryDelay;
+    if (std::holds_alternative<store::appended>(result)) { // The record is written once.
+        m_registerAt = time_point::max();
+        m_failedRegistrations = 0;
+        return;
+    }
+    constexpr unsigned maxDoublings = 4;
+    const auto delay = registrationRetryDelay * (1U << std::min(m_failedRegistrations, maxDoublings));
+    m_registerAt = now + delay + std::chrono::duration_cast<milliseconds>(delay * (registrationJitter * random()));
+    ++m_failedRegistrations;
 }
 
 void gateway::implementation::applyDaemons(const internal::watch_update &update, time_point now)
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -399,6 +399,7 @@
     time_point m_probeAt{};
     time_point m_registerAt{};
     bool m_registrationPending = false;
+    unsigned m_failedRegistrations = 0; // In a row.
     time_point m_housekeepingAt{};
     bool m_storeSuspect = false; // The most recent direct calls failed.
     bool m_storeWasReachable = true; // The state that was last logged.
