budgets: a denial rests on no reservation whose request may have ended

A reservation is written before a request is sent; its settlement waited in a decider or travelled on a link, and what died on the way counted whole. Only the turn that a request continues was looked up, so the turns of sub-agents and requests that were refused stayed reserved. A denial that was written stayed one for later tries of the same request.

A record after a denial has the number of its retry and is decided anew, as is one whose cause was settled while it was written. A denial names in the log each reservation on which it rests, with tokens and age: the record of the users could not tell what theirs rested on.

Ruled out: a reservation only after the history is at hand (an endpoint may still reject the request after it). Not mended: a release that is lost with all daemons while the store is away.

--- a/src/gateway/budgets.cc
+++ b/src/gateway/budgets.cc
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <ranges>
 #include <utility>
 #include <xxhash.h>
 
@@ -44,6 +45,18 @@
     return XXH3_64bits_withSeed(daemon.data(), daemon.size(), seed);
 }
 
+// The reservations on which a denial rests, as request:tokens:age in ms; the oldest ones if there are many.
+std::string describeUnsettled(const std::vector<programs::unsettled_reservation> &reservations, time_point now)
+{
+    constexpr std::size_t maxDescribed = 8;
+    std::string text;
+    for (const auto &entry : reservations | std::views::take(maxDescribed)) {
+        text += fmt::format("{}{}:{}:{}", text.empty() ? "" : ",", entry.attempt, entry.tokens,
+                            millisecondsBetween(entry.since, now).count());
+    }
+    return reservations.size() > maxDescribed ? text + ",..." : text;
+}
+
 } // namespace
 
 bool gateway::implementation::hasBudget(const request_context &context)
@@ -171,25 +184,37 @@
     budgetsOf(owner.where).onReply(owner.call, result, now);
 }
 
+void gateway::implementation::logDecision(const programs::budget_response &response, time_point now)
+{
+    std::vector<log_field> fields{{"request", response.request.attempt},
+                                  {"program", response.request.program},
+                                  {"answer", programs::nameOf(response.decision)},
+                                  {"budget", response.request.budget},
+                                  {"asked", response.request.tokens},
+                                  {"spent", response.usage.spent},
+                                  {"reserved", response.usage.reserved},
+                                  {"reserved_written", response.view.reservedWritten},
+                                  {"reserved_unwritten", response.view.reservedUnwritten}};
+    if (response.view.confirmed.has_value()) {
+        fields.emplace_back("view_age_ms", millisecondsBetween(*response.view.confirmed, now).count());
+    }
+    if (!response.unsettled.empty()) {
+        fields.emplace_back("unsettled", describeUnsettled(response.unsettled, now));
+    }
+    log(log_level::Info, "budget_decided", std::move(fields));
+}
+
 void gateway::implementation::onBudgetDecision(const programs::budget_response &response, time_point now)
 {
+    if (response.decision == programs::budget_decision::Denied && !response.uncertain.empty()) {
+        checkSettlements(response, now);
+        return;
+    }
     const auto [first, last] = m_reservationRequesters.equal_range(response.request.attempt);
     const std::vector<std::pair<std::string, reservation_requester>> requesters(first, last);
     m_reservationRequesters.erase(first, last);
     if (response.decision != programs::budget_decision::Granted) {
-        std::vector<log_field> fields{{"request", response.request.attempt},
-                                      {"program", response.request.program},
-                                      {"answer", programs::nameOf(response.decision)},
-                                      {"budget", response.request.budget},
-                                      {"asked", response.request.tokens},
-                                      {"spent", response.usage.spent},
-                                      {"reserved", response.usage.reserved},
-                                      {"reserved_written", response.view.reservedWritten},
-                                      {"reserved_unwritten", response.view.reservedUnwritten}};
-        if (response.view.confirmed.has_value()) {
-            fields.emplace_back("view_age_ms", millisecondsBetween(*response.view.confirmed, now).count());
-        }
-        log(log_level::Info, "budget_decided", std::move(fields));
+        logDecision(response, now);
     }
     auto &budgets = budgetsOf(programPartition(response.request.program));
     for (const auto &[attempt, requester] : requesters) {
@@ -253,25 +278,6 @@
     refuseRequest(context, result_code::BudgetExceeded, std::nullopt, now);
 }
 
-// Called once the history of the request is known.
-void gateway::implementation::settlePreviousTurn(request_context &context, time_point now)
-{
-    const auto decider = std::exchange(context.unsettledAt, std::nullopt);
-    if (!decider.has_value()) {
-        return;
-    }
-    if (context.chain.tokens != 0) {
-        logRequest(log_level::Info, "settlement_restored", context,
-                   {{"turn", context.request.previousTurn}, {"tokens", context.chain.tokens}, {"decider", *decider}},
-                   now);
-        sendUsage({.program = context.request.program,
-                   .attempt = context.request.previousTurn,
-                   .tokens = context.chain.tokens,
-                   .restored = true},
-                  *decider, now);
-    }
-}
-
 // ---- Messages ----
 
 void gateway::implementation::on(link_id link, const peers::budget_request &message, time_point now)
@@ -332,53 +338,6 @@
     useHistory(*context, message.history, std::move(chain), now);
 }
 
-// ---- Usage ----
-
-// Reports the tokens used to the daemon that granted the reservation. Without a report, the whole reservation counts as
-// used.
-void gateway::implementation::settleReservation(request_context &context, bool holdsTurn, time_point now)
-{
-    // If no reply arrived, the daemon asked last may still have granted the reservation, but the request never runs.
-    const auto decider = context.grantedBy.has_value() ? context.grantedBy : context.lastDecider;
-    context.grantedBy.reset();
-    context.lastDecider.reset();
-    if (!decider.has_value()) {
-        return;
-    }
-    const peers::budget_use use{.program = context.request.program,
-                                .attempt = context.request.attempt,
-                                .tokens = tokensDelivered(context),
-                                .holdsTurn = holdsTurn};
-    sendUsage(use, *decider, now);
-}
-
-void gateway::implementation::sendUsage(const peers::budget_use &use, const std::string &decider, time_point now)
-{
-    const auto link = decider == m_options.self.name ? std::nullopt : m_peers.linkTo(decider);
-    if (link.has_value()) {
-        m_effects.emplace_back(send_message{*link, use});
-    } else {
-        recordUsage(use, m_options.self.name, now);
-    }
-}
-
-void gateway::implementation::recordUsage(const peers::budget_use &use, const std::string &holder, time_point now)
-{
-    if (use.holdsTurn) {
-        m_turnHolders[use.attempt] = {holder, now};
-    }
-    // A restored settlement has been lost once, possibly by a crash that may recur: it does not wait.
-    const auto delay = use.restored ? milliseconds(0) : programs::budget_partition::batchingDelay;
-    budgetsOf(programPartition(use.program))
-        .settle({.program = use.program, .attempt = use.attempt, .tokens = use.tokens}, now, delay);
-}
-
-std::string gateway::implementation::turnHolder(const std::string &turn) const
-{
-    const auto found = m_turnHolders.find(turn);
-    return found == m_turnHolders.end() ? std::string() : found->second.first;
-}
-
 // ---- Timeouts and lost links ----
 
 void gateway::implementation::abandonPeerRequests(link_id link, time_point now)
@@ -388,6 +347,7 @@
 
 void gateway::implementation::tickBudgets(time_point now)
 {
+    forgetOldUsages(now);
     for (auto &[where, budgets] : m_budgets) {
         budgets.tick(now);
     }
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -1,11 +1,11 @@
 #pragma once
 
 // The state and the event handlers of the gateway, grouped by file: requests.cc (arrival, refusal, completion),
-// budgets.cc (reservations), turns.cc (histories), turn_writes.cc (their records), turn_trimming.cc (deletion of
-// these), dispatching.cc (endpoints), endpoint_limits.cc (their rate limits), endpoint_leaving.cc (those that leave),
-// relaying.cc (paths to them, dispatch through peers), crash_reports.cc (requests that crash endpoints),
-// platform_state.cc (store, watches, reports), daemon_records.cc (the records of the daemons), peer_links.cc (the links
-// to them), shutdown.cc (readiness and shutdown).
+// budgets.cc (reservations), settlements.cc (what they were used for), turns.cc (histories), turn_writes.cc (their
+// records), turn_trimming.cc (deletion of these), dispatching.cc (endpoints), endpoint_limits.cc (their rate limits),
+// endpoint_leaving.cc (those that leave), relaying.cc (paths to them, dispatch through peers), crash_reports.cc
+// (requests that crash endpoints), platform_state.cc (store, watches, reports), daemon_records.cc (the records of the
+// daemons), peer_links.cc (the links to them), shutdown.cc (readiness and shutdown).
 
 #include "admission/admission.h"
 #include "gateway/gateway.h"
@@ -21,6 +21,7 @@
 #include "reachability/reachability.h"
 
 #include <array>
+#include <deque>
 #include <map>
 #include <random>
 #include <set>
@@ -114,12 +115,11 @@
                         time_point deadline, time_point now);
     bool processBudgetOutputs(time_point now);
     void onBudgetDecision(const programs::budget_response &response, time_point now);
+    void logDecision(const programs::budget_response &response, time_point now);
     void onReservationDecided(request_context &context, const peers::budget_reply &reply, const std::string &decider,
                               time_point now);
     void onReservationDenied(request_context &context, const peers::budget_reply &reply, const std::string &decider,
                              time_point now);
-    void settlePreviousTurn(request_context &context, time_point now);
-    void sendUsage(const peers::budget_use &use, const std::string &decider, time_point now);
     void on(link_id link, const peers::budget_request &message, time_point now);
     void on(link_id link, const peers::budget_reply &message, time_point now);
     void on(link_id link, const peers::budget_use &message, time_point now);
@@ -128,8 +128,6 @@
     void abandonPeerRequests(link_id link, time_point now);
     void retryAbandonedPeerRequests(const std::function<bool(const pending_peer_request &)> &isAbandoned,
                                     time_point now);
-    void settleReservation(request_context &context, bool holdsTurn, time_point now);
-    void recordUsage(const peers::budget_use &use, const std::string &holder, time_point now);
     void tickBudgets(time_point now);
     void evictIdleBudgets(time_point now);
     [[nodiscard]] programs::unwritten_records unwrittenBudgetRecords() const;
@@ -148,6 +146,41 @@
     [[nodiscard]] std::string turnHolder(const std::string &turn) const;
     programs::budget_partition &budgetsOf(const store::partition &where);
 
+    // settlements.cc
+    // A report of use that was sent to a decider.
+    struct sent_usage
+    {
+        std::string decider;
+        peers::budget_use use;
+        time_point at;
+    };
+
+    // A look for the turns of unsettled reservations of a program.
+    struct settlement_check
+    {
+        std::vector<std::string> turns;
+        struct denied_request
+        {
+            programs::reservation request;
+            time_point deadline;
+        };
+
+        std::vector<denied_request> denied; // Decided again when the check ends.
+        std::size_t openReads = 0;
+        bool incomplete = false; // A partition could not be read to its end.
+    };
+
+    void settlePreviousTurn(request_context &context, time_point now);
+    void settleReservation(request_context &context, bool holdsTurn, time_point now);
+    void sendUsage(const peers::budget_use &use, const std::string &decider, time_point now);
+    void recordUsage(const peers::budget_use &use, const std::string &holder, time_point now);
+    void forgetOldUsages(time_point now);
+    // The daemon is dead, or its link was closed: it may not have got the latest reports.
+    void sendUsagesAgain(const std::string &lostDecider, time_point now);
+    void checkSettlements(const programs::budget_response &denial, time_point now);
+    void onSettlementRead(const std::string &program, bool readToEnd, time_point now);
+    void finishSettlementCheck(const std::string &program, time_point now);
+
     // turns.cc
     void resolveHistory(request_context &context, const std::string &holder, time_point now);
     void readHistoryFromStore(request_context &context, time_point now);
@@ -387,6 +420,9 @@
     std::multimap<std::string, reservation_requester> m_reservationRequesters; // By attempt.
     std::map<std::uint64_t, pending_peer_request> m_pendingReservations;
     std::map<std::uint64_t, pending_peer_request> m_pendingTurnRequests;
+    std::deque<sent_usage> m_sentUsages; // Oldest first.
+    std::map<std::string, settlement_check> m_settlementChecks; // By program.
+    std::map<store::ticket_id, std::string> m_settlementReads; // Programs whose checks wait for these.
     std::uint64_t m_lastPeerRequest = 0;
     std::map<std::string, std::pair<std::string, time_point>>
         m_turnHolders; // By turn: the daemon that has its text, and when that was reported.
--- a/src/gateway/peer_links.cc
+++ b/src/gateway/peer_links.cc
@@ -63,6 +63,7 @@
     cancelRelayedFor(received.link, now);
     const auto name = m_peers.onClosed(received.link, now);
     if (!name.empty()) {
+        sendUsagesAgain(name, now);
         log(log_level::Warning, "peer_link_closed", {{"peer", name}});
     }
 }
@@ -124,6 +125,7 @@
     for (const auto &change : changes) {
         if (!change.alive) {
             m_pool.removePeer(change.name);
+            sendUsagesAgain(change.name, now);
         }
     }
     if (!changes.empty()) {
--- a/src/gateway/platform_state.cc
+++ b/src/gateway/platform_state.cc
@@ -228,6 +228,10 @@
 
 void gateway::implementation::onLogOutput(const store::ticket_result &output, time_point now)
 {
+    if (const auto read = m_settlementReads.extract(output.ticket); read) {
+        onSettlementRead(read.mapped(), output.done, now);
+        return;
+    }
     const auto node = m_tickets.extract(output.ticket);
     auto *context = node ? findRequest(node.mapped().caller) : nullptr;
     if (context == nullptr) {
--- a/src/programs/budget_ledger.cc
+++ b/src/programs/budget_ledger.cc
@@ -21,28 +21,30 @@
     }
     auto &program = m_programs[std::string(programOf(value))];
     program.lastRecord = now;
-    applyTo(program, value);
+    applyTo(program, value, now);
 }
 
-void budget_ledger::applyTo(program_state &program, const program_record &value)
+void budget_ledger::applyTo(program_state &program, const program_record &value, time_point now)
 {
     if (const auto *reserved = std::get_if<reservation>(&value)) {
-        reserve(program, *reserved);
+        reserve(program, *reserved, now);
     } else if (const auto *settled = std::get_if<settlement>(&value)) {
         settle(program, *settled);
     }
 }
 
-// Only the first record of a request counts; a reservation that was appended twice has no further effect.
-void budget_ledger::reserve(program_state &program, const reservation &value)
+// Only the first record of a request counts; a reservation that was appended twice has no further effect. After a
+// denial the next retry is decided anew: what the denial rested on may have been settled since.
+void budget_ledger::reserve(program_state &program, const reservation &value, time_point now)
 {
     const auto [entry, isNew] = program.attempts.try_emplace(value.attempt);
-    if (!isNew) {
+    const auto &known = entry->second;
+    if (!isNew && (known.granted || known.settled || value.retry <= known.retry)) {
         return;
     }
     const auto &usage = program.usage;
     const bool fits = usage.spent + usage.reserved + value.tokens <= value.budget;
-    entry->second = {.tokens = value.tokens, .granted = fits};
+    entry->second = {.tokens = value.tokens, .granted = fits, .retry = value.retry, .since = now};
     if (fits) {
         program.usage.reserved += value.tokens;
     }
@@ -96,6 +98,33 @@
     return state != nullptr && state->settled;
 }
 
+bool budget_ledger::isApplied(const reservation &value) const
+{
+    const auto *state = find(value.program, value.attempt);
+    return state != nullptr && (state->granted || state->settled || state->retry >= value.retry);
+}
+
+std::uint32_t budget_ledger::nextRetryOf(const std::string &program, const std::string &attempt) const
+{
+    const auto *state = find(program, attempt);
+    return state != nullptr && !state->granted && !state->settled ? state->retry + 1 : 0;
+}
+
+std::vector<unsettled_reservation> budget_ledger::unsettledOf(const std::string &program) const
+{
+    std::vector<unsettled_reservation> result;
+    if (const auto state = m_programs.find(program); state != m_programs.end()) {
+        for (const auto &[attempt, entry] : state->second.attempts) {
+            if (entry.granted && !entry.settled) {
+                result.push_back({.attempt = attempt, .tokens = entry.tokens, .since = entry.since});
+            }
+        }
+    }
+    std::ranges::sort(result, std::less<>(),
+                      [](const unsettled_reservation &entry) { return std::pair(entry.since, entry.attempt); });
+    return result;
+}
+
 budget_usage budget_ledger::usageOf(const std::string &program) const
 {
     const auto state = m_programs.find(program);
@@ -109,7 +138,7 @@
     }
     const auto found = m_programs.find(program);
     auto state = found == m_programs.end() ? program_state{} : found->second;
-    std::ranges::for_each(records, [&state](const program_record &value) { applyTo(state, value); });
+    std::ranges::for_each(records, [&state](const program_record &value) { applyTo(state, value, {}); });
     return state.usage;
 }
 
--- a/src/programs/budget_partition.cc
+++ b/src/programs/budget_partition.cc
@@ -58,32 +58,93 @@
         return;
     }
     if (isUnsettled(request.program, request.attempt)) {
-        respond(request, budget_decision::Granted);
+        grant(request, now);
         return;
     }
-    const auto usage = certainUsageOf(request.program);
-    if (usage.spent + usage.reserved + request.tokens > request.budget) {
+    if (!fits(request)) {
         if (isViewFresh(now)) {
-            respond(request, budget_decision::Denied);
+            deny(request, now);
         } else {
             m_pendingRequests.push_back(entry); // Another daemon may have written settlements meanwhile.
             startRead();
         }
         return;
     }
-    m_unwritten.push_back({.record = request, .since = now, .due = now, .deadline = entry.deadline});
+    auto record = request;
+    record.retry = m_ledger.nextRetryOf(request.program, request.attempt);
+    m_unwritten.push_back({.record = std::move(record), .since = now, .due = now, .deadline = entry.deadline});
     startAppend(now);
 }
 
+bool budget_partition::fits(const reservation &request) const
+{
+    const auto usage = certainUsageOf(request.program);
+    return usage.spent + usage.reserved + request.tokens <= request.budget;
+}
+
+void budget_partition::reserveAgain(const reservation &request, time_point deadline, time_point now)
+{
+    m_readRequired = true;
+    reserve(request, deadline, now);
+}
+
+void budget_partition::onTurnsMissing(const std::string &program, const std::vector<std::string> &attempts,
+                                      time_point now)
+{
+    constexpr unsigned maxDoublings = 6;
+    for (const auto &attempt : attempts) {
+        auto &known = m_attempts[program][attempt];
+        known.certainUntil = now + missingTurnTime * (1U << std::min(known.looks, maxDoublings));
+        ++known.looks;
+    }
+}
+
+// Whether the reservation of the request counts for certain: the request is under way, or it ended without a turn.
+bool budget_partition::isCertain(const std::string &program, const std::string &attempt, time_point now) const
+{
+    const auto known = m_attempts.find(program);
+    if (known == m_attempts.end()) {
+        return false;
+    }
+    const auto found = known->second.find(attempt);
+    if (found == known->second.end()) {
+        return false;
+    }
+    return now < found->second.certainUntil;
+}
+
+void budget_partition::grant(const reservation &request, time_point now)
+{
+    m_attempts[request.program][request.attempt].certainUntil = now + presumedOpenTime;
+    respond(request, budget_decision::Granted);
+}
+
+void budget_partition::deny(const reservation &request, time_point now)
+{
+    respond(request, budget_decision::Denied);
+    auto &response = std::get<budget_response>(m_outputs.back());
+    response.unsettled = m_ledger.unsettledOf(request.program);
+    std::erase_if(response.unsettled, [&](const auto &entry) { return !isUnsettled(request.program, entry.attempt); });
+    for (const auto &entry : response.unsettled) {
+        if (response.uncertain.size() < maxUncertain && !isCertain(request.program, entry.attempt, now)) {
+            response.uncertain.push_back(entry.attempt);
+        }
+    }
+}
+
 void budget_partition::respond(const reservation &request, budget_decision decision)
 {
     m_outputs.emplace_back(budget_response{
         .request = request, .decision = decision, .usage = usageOf(request.program), .view = viewOf(request.program)});
+    std::get<budget_response>(m_outputs.back()).request.retry = 0;
 }
 
 void budget_partition::settle(const settlement &use, time_point now, std::chrono::milliseconds delay)
 {
     withdraw(use);
+    if (const auto known = m_attempts.find(use.program); known != m_attempts.end()) {
+        known->second.erase(use.attempt);
+    }
     m_unwritten.push_back({.record = use, .since = now, .due = now + delay, .deadline = std::nullopt});
     startAppend(now);
     startRequiredRead();
@@ -256,7 +317,7 @@
     m_nextOffset = result.offset + written.size();
     m_lastConfirmed = now;
     std::ranges::for_each(written, [&](const unwritten_record &entry) { m_ledger.apply(entry.record, now); });
-    std::ranges::for_each(written, [this](const unwritten_record &entry) { respondToWritten(entry); });
+    std::ranges::for_each(written, [&](const unwritten_record &entry) { respondToWritten(entry, now); });
     forgetResolvedAppends();
 }
 
@@ -272,14 +333,21 @@
 }
 
 // Responds to a reservation that has been written, if its response is pending.
-void budget_partition::respondToWritten(const unwritten_record &entry)
+void budget_partition::respondToWritten(const unwritten_record &entry, time_point now)
 {
     if (!entry.deadline.has_value()) {
         return;
     }
-    const auto &reserved = std::get<reservation>(entry.record);
-    const bool granted = m_ledger.stateOf(reserved.program, reserved.attempt) == reservation_state::Granted;
-    respond(reserved, granted ? budget_decision::Granted : budget_decision::Denied);
+    const auto &request = std::get<reservation>(entry.record);
+    if (m_ledger.stateOf(request.program, request.attempt) == reservation_state::Granted) {
+        grant(request, now);
+    } else if (fits(request)) {
+        // What the denial rested on was settled meanwhile.
+        m_pendingRequests.push_back({.request = request, .deadline = *entry.deadline});
+        m_pendingRequests.back().request.retry = 0;
+    } else {
+        deny(request, now);
+    }
 }
 
 void budget_partition::onRead(const store::records_read &result, time_point now)
@@ -299,18 +367,18 @@
     }
     m_readRequired = false;
     m_lastConfirmed = now;
-    removeWritten();
+    removeWritten(now);
     forgetResolvedAppends();
     decidePending(now);
 }
 
 // Removes unwritten records that the partition contains, since an append without reply may have been executed.
-void budget_partition::removeWritten()
+void budget_partition::removeWritten(time_point now)
 {
     std::vector<unwritten_record> remaining;
     for (auto &entry : std::exchange(m_unwritten, {})) {
         if (isWritten(entry.record)) {
-            respondToWritten(entry);
+            respondToWritten(entry, now);
         } else {
             remaining.push_back(std::move(entry));
         }
@@ -329,7 +397,7 @@
 bool budget_partition::isWritten(const program_record &record) const
 {
     if (const auto *reserved = std::get_if<reservation>(&record)) {
-        return m_ledger.stateOf(reserved->program, reserved->attempt) != reservation_state::Unknown;
+        return m_ledger.isApplied(*reserved);
     }
     const auto &settled = std::get<settlement>(record);
     return m_ledger.isSettled(settled.program, settled.attempt);
@@ -403,6 +471,7 @@
 void budget_partition::evictIdle(time_point now)
 {
     m_ledger.evictIdle(now);
+    std::erase_if(m_attempts, [this](const auto &entry) { return m_ledger.unsettledOf(entry.first).empty(); });
 }
 
 unwritten_records budget_partition::unwrittenRecords() const
--- a/src/programs/program_records.cc
+++ b/src/programs/program_records.cc
@@ -1,6 +1,8 @@
 #include "programs/programs.h"
 
 #include <algorithm>
+#include <charconv>
+#include <fmt/format.h>
 #include <iterator>
 #include <program_records_generated.h>
 #include <xxhash.h>
@@ -11,10 +13,32 @@
 namespace
 {
 
+// Between the id of an attempt and the number of its retry; no request can have a line feed in its id.
+constexpr char retrySeparator = '\n';
+
+std::string attemptWithRetry(const reservation &value)
+{
+    return value.retry == 0 ? value.attempt : fmt::format("{}{}{}", value.attempt, retrySeparator, value.retry);
+}
+
+reservation unpack(const fbs::Reservation &body)
+{
+    reservation value{.program = body.program()->str(),
+                      .attempt = body.attempt()->str(),
+                      .tokens = body.tokens(),
+                      .budget = body.budget()};
+    if (const auto separator = value.attempt.find(retrySeparator); separator != std::string::npos) {
+        const auto *end = value.attempt.data() + value.attempt.size();
+        std::from_chars(value.attempt.data() + separator + 1, end, value.retry);
+        value.attempt.resize(separator);
+    }
+    return value;
+}
+
 flatbuffers::Offset<void> pack(flatbuffers::FlatBufferBuilder &out, const reservation &value)
 {
     const auto program = out.CreateString(value.program);
-    const auto attempt = out.CreateString(value.attempt);
+    const auto attempt = out.CreateString(attemptWithRetry(value));
     return fbs::CreateReservation(out, program, attempt, value.tokens, value.budget).Union();
 }
 
@@ -77,7 +101,7 @@
     }
     const auto *record = flatbuffers::GetRoot<fbs::ProgramRecord>(bytes.data());
     if (const auto *body = record->body_as_Reservation()) {
-        return reservation{body->program()->str(), body->attempt()->str(), body->tokens(), body->budget()};
+        return unpack(*body);
     }
     if (const auto *body = record->body_as_Settlement()) {
         return settlement{body->program()->str(), body->attempt()->str(), body->tokens()};
--- a/src/programs/programs.h
+++ b/src/programs/programs.h
@@ -20,6 +20,7 @@
 
 #include <cstdint>
 #include <list>
+#include <map>
 #include <optional>
 #include <span>
 #include <string>
@@ -38,6 +39,9 @@
     std::string attempt;
     std::uint32_t tokens = 0;
     std::uint32_t budget = 0; // Of the whole program.
+    // Counts the records of the request that follow a written denial. The log holds it behind the id of the attempt, so
+    // that earlier builds take the record for one of another request, and not for a copy of the denied one.
+    std::uint32_t retry = 0;
     bool operator==(const reservation &) const = default;
 };
 
@@ -106,6 +110,15 @@
     std::uint64_t reserved = 0; // Granted and not yet settled.
 };
 
+// A granted reservation whose request has not reported what it used.
+struct unsettled_reservation
+{
+    std::string attempt;
+    std::uint32_t tokens = 0;
+    time_point since; // When its record was applied.
+    bool operator==(const unsettled_reservation &) const = default;
+};
+
 // State of all budgets, computed by applying the records of program partitions in order.
 class budget_ledger
 {
@@ -120,6 +133,12 @@
     // unknown.
     [[nodiscard]] std::uint32_t tokensOf(const std::string &program, const std::string &attempt) const;
     [[nodiscard]] bool isSettled(const std::string &program, const std::string &attempt) const;
+    // Whether a record of the request with this or a later retry has been applied.
+    [[nodiscard]] bool isApplied(const reservation &value) const;
+    // The retry of the next record of the request: one after that of a written denial, else 0.
+    [[nodiscard]] std::uint32_t nextRetryOf(const std::string &program, const std::string &attempt) const;
+    // Oldest first.
+    [[nodiscard]] std::vector<unsettled_reservation> unsettledOf(const std::string &program) const;
     [[nodiscard]] budget_usage usageOf(const std::string &program) const;
     // The usage of the program if `records`, all of this program, were applied next.
     [[nodiscard]] budget_usage usageAfter(const std::string &program, std::span<const program_record> records) const;
@@ -132,6 +151,8 @@
         std::uint32_t tokens = 0;
         bool granted = false;
         bool settled = false;
+        std::uint32_t retry = 0; // Of the latest record.
+        time_point since;
     };
 
     struct program_state
@@ -142,8 +163,8 @@
     };
 
     [[nodiscard]] const attempt_state *find(const std::string &program, const std::string &attempt) const;
-    static void applyTo(program_state &program, const program_record &value);
-    static void reserve(program_state &program, const reservation &value);
+    static void applyTo(program_state &program, const program_record &value, time_point now);
+    static void reserve(program_state &program, const reservation &value, time_point now);
     static void settle(program_state &program, const settlement &value);
 
     std::unordered_map<std::string, program_state> m_programs;
@@ -179,6 +200,11 @@
     budget_decision decision = budget_decision::Unavailable;
     budget_usage usage; // Of the program, at the time of the decision.
     budget_view view;
+    // Of a denial: the reservations of the program without a settlement, oldest first.
+    std::vector<unsettled_reservation> unsettled;
+    // Those of them whose requests may have ended, as far as this daemon knows. The denial is not certain before their
+    // turns were looked for: see budget_partition::reserveAgain().
+    std::vector<std::string> uncertain;
 };
 
 // Records of budgets that are not known to be in the log; an append with them may be under way.
@@ -194,8 +220,10 @@
 // Decides on reservations for the programs of one partition, and writes their records to it.
 //
 // A reservation is granted only after it is written, so that a crash loses no grant, and denied only because of written
-// records: one that could not be written takes nothing of the budget. Reservations that arrive during an append are
-// written together in the next one. Settlements wait up to `batchingDelay` for a reservation to be written with.
+// records: one that could not be written takes nothing of the budget. A denial names the reservations on which it rests
+// and whose requests may have ended; the caller looks for their turns, settles those, and reserves again. Reservations
+// that arrive during an append are written together in the next one. Settlements wait up to `batchingDelay` for a
+// reservation to be written with.
 class budget_partition
 {
 public:
@@ -209,11 +237,24 @@
     static constexpr std::chrono::milliseconds unavailableAfter{250};
     static constexpr unsigned failuresUntilUnavailable = 2;
 
+    // A reservation that this daemon has granted is taken for that of a request under way for this long. Afterwards, or
+    // if another daemon has granted it, the request may have ended and its settlement may be lost.
+    static constexpr std::chrono::milliseconds presumedOpenTime{1000};
+    // How long a denial may rest on a reservation after its turn was looked for and not found; doubles with each look,
+    // up to a minute.
+    static constexpr std::chrono::milliseconds missingTurnTime{1000};
+    // Turns that are looked for before one denial.
+    static constexpr std::size_t maxUncertain = 8;
+
     explicit budget_partition(store::partition where);
 
     // Leads to a budget_response among the outputs, at the latest at the deadline. A request that was granted before is
     // granted again.
     void reserve(const reservation &request, time_point deadline, time_point now);
+    // The turns of these requests of the program were looked for and do not exist; their reservations count.
+    void onTurnsMissing(const std::string &program, const std::vector<std::string> &attempts, time_point now);
+    // Reserves after a denial whose uncertain reservations were looked into. Reads the partition first.
+    void reserveAgain(const reservation &request, time_point deadline, time_point now);
     // Replaces the reservation of a finished request by the tokens that it used. Waits up to `delay` for a reservation
     // to be appended with.
     void settle(const settlement &use, time_point now, std::chrono::milliseconds delay = batchingDelay);
@@ -247,18 +288,29 @@
         time_point deadline;
     };
 
+    // What this daemon knows of the request of a reservation beside the log.
+    struct known_attempt
+    {
+        time_point certainUntil; // Until then a denial may rest on the reservation.
+        unsigned looks = 0; // For its turn, which was not found.
+    };
+
     [[nodiscard]] budget_usage certainUsageOf(const std::string &program) const;
+    [[nodiscard]] bool isCertain(const std::string &program, const std::string &attempt, time_point now) const;
+    [[nodiscard]] bool fits(const reservation &request) const;
+    void deny(const reservation &request, time_point now);
+    void grant(const reservation &request, time_point now);
     void decide(const pending_request &entry, time_point now);
     void withdraw(const settlement &use);
     void respond(const reservation &request, budget_decision decision);
-    void respondToWritten(const unwritten_record &entry);
+    void respondToWritten(const unwritten_record &entry, time_point now);
     void decidePending(time_point now);
     void startAppend(time_point now);
     void startRead();
     void startRequiredRead();
     void onAppended(const store::appended &result, time_point now);
     void onRead(const store::records_read &result, time_point now);
-    void removeWritten();
+    void removeWritten(time_point now);
     void returnToUnwritten(bool maybeExecuted);
     void forgetResolvedAppends();
     void expire(time_point now);
@@ -277,6 +329,7 @@
     std::vector<unwritten_record> m_unwritten; // Records of the next append, in append order.
     // Reservations that are no longer wanted but may still be written by an append without reply.
     std::vector<unwritten_record> m_abandoned;
+    std::map<std::string, std::map<std::string, known_attempt>> m_attempts; // By program and attempt.
     std::vector<pending_request> m_pendingRequests; // Requests that wait for the partition to be read.
     std::uint64_t m_lastCall = 0;
     std::optional<budget_call_id> m_appendCall;
