gateway: a store that is full when all daemons start gets room again

While it is full the first daemon in rank reads where each partition of turns ends, and deletes up to there when it has run for the time that turns are kept.

--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -205,6 +205,7 @@
     [[nodiscard]] store::partition programPartition(const std::string &program) const;
     // A turn is stored in its primary partition, or in its fallback partition if the primary one could not be written.
     [[nodiscard]] store::partition turnPartition(const std::string &turn, bool fallback) const;
+    [[nodiscard]] static store::partition turnPartitionAt(std::uint32_t topic, std::uint32_t part);
     [[nodiscard]] static programs::turn_location locationOf(const store::partition &where, std::uint64_t offset,
                                                             std::size_t bytes);
     void appendTurn(request_context &context, time_point now);
@@ -222,6 +223,9 @@
     void trimDuePartitions(time_point now);
     [[nodiscard]] std::optional<time_point> nextTrimCheck() const;
     void complete(const internal::trim_owner &owner, const store::reply &result, time_point now);
+    void markFullPartitions(time_point now);
+    void readPartitionEnd(const store::partition &where, std::uint64_t from, time_point now);
+    void complete(const internal::partition_end_owner &owner, const store::reply &result, time_point now);
 
     // dispatching.cc
     void dispatch(request_context &context, time_point now);
@@ -454,6 +458,8 @@
     std::map<store::ticket_id, ticket_owner> m_tickets;
     internal::trim_marks m_marks;
     time_point m_trimCheckAt{};
+    time_point m_fullCheckAt{};
+    std::uint32_t m_nextFullPartition = 0; // Of those that are considered while the store is full, the next one.
     std::map<store::partition, time_point> m_partitionBackoffUntil; // Until then turns go to their fallback partitions.
 
     time_point m_lastRequestFinishedAt{};
--- a/src/gateway/internal/store_access.h
+++ b/src/gateway/internal/store_access.h
@@ -51,6 +51,12 @@
     trim_marks::due_trim trim;
 };
 
+// A read of the end of a partition of turns, to mark its records.
+struct partition_end_owner
+{
+    store::partition where;
+};
+
 // A call made only to find out whether the store is reachable.
 struct probe_owner
 {
@@ -81,7 +87,7 @@
 
 using store_call_owner =
     std::variant<partition_log_owner, budget_owner, watch_owner, turn_read_owner, registration_owner, trim_owner,
-                 probe_owner, crash_record_owner, gone_daemon_owner, peer_owner>;
+                 partition_end_owner, probe_owner, crash_record_owner, gone_daemon_owner, peer_owner>;
 
 struct store_completion
 {
--- a/src/gateway/internal/trim_marks.cc
+++ b/src/gateway/internal/trim_marks.cc
@@ -74,6 +74,11 @@
     return result;
 }
 
+bool trim_marks::contains(const store::partition &where) const
+{
+    return m_marks.contains(where);
+}
+
 bool trim_marks::empty() const
 {
     return m_marks.empty();
--- a/src/gateway/internal/trim_marks.h
+++ b/src/gateway/internal/trim_marks.h
@@ -55,6 +55,7 @@
     takeDue(time_point now, std::chrono::milliseconds keepTime,
             const std::function<std::chrono::milliseconds(const store::partition &)> &delayOf);
     [[nodiscard]] std::vector<held_mark> all() const;
+    [[nodiscard]] bool contains(const store::partition &where) const;
     [[nodiscard]] bool empty() const;
 
 private:
--- a/src/gateway/platform_state.cc
+++ b/src/gateway/platform_state.cc
@@ -71,6 +71,7 @@
     m_log.tick(now);
     tickBudgets(now);
     trimDuePartitions(now);
+    markFullPartitions(now);
     dispatchWaiting(now);
     for (const auto link : m_store.tick(now)) {
         m_peers.markStoreUnreachable(link);
--- a/src/gateway/turn_trimming.cc
+++ b/src/gateway/turn_trimming.cc
@@ -28,6 +28,8 @@
 // How long a daemon leaves a deletion to each of those ranked before it.
 constexpr milliseconds trimDelayPerRank{10000};
 constexpr milliseconds trimCheckInterval{1000};
+// Partitions of a full store that are considered at each check; all are within half a minute.
+constexpr std::uint32_t partitionsPerFullCheck = 64;
 
 } // namespace
 
@@ -142,7 +144,55 @@
 
 std::optional<time_point> gateway::implementation::nextTrimCheck() const
 {
-    return m_marks.empty() || m_table == nullptr ? std::nullopt : std::optional(m_trimCheckAt);
+    std::optional<time_point> next;
+    if (!m_marks.empty() && m_table != nullptr) {
+        next = m_trimCheckAt;
+    }
+    if (m_store.room().isFull()) {
+        next = std::min(next.value_or(m_fullCheckAt), m_fullCheckAt);
+    }
+    return next;
+}
+
+// A store that was full when all daemons started takes no append, and so no mark comes from one. What lies in it now is
+// old enough to be deleted when this daemon has run for the time that turns are kept.
+void gateway::implementation::markFullPartitions(time_point now)
+{
+    if (!m_store.room().isFull() || m_fullCheckAt > now) {
+        return;
+    }
+    m_fullCheckAt = now + trimCheckInterval;
+    const auto &layout = m_options.layout;
+    const auto count = layout.turnTopics * layout.partsPerTopic;
+    for (std::uint32_t i = 0; i < std::min(partitionsPerFullCheck, count); ++i) {
+        const auto where =
+            turnPartitionAt(m_nextFullPartition / layout.partsPerTopic, m_nextFullPartition % layout.partsPerTopic);
+        m_nextFullPartition = (m_nextFullPartition + 1) % count;
+        if (!m_marks.contains(where) && firstDaemon(rendezvousKeyOf(where), now) == m_options.self.name) {
+            readPartitionEnd(where, 0, now);
+        }
+    }
+}
+
+void gateway::implementation::readPartitionEnd(const store::partition &where, std::uint64_t from, time_point now)
+{
+    startStoreCall(internal::partition_end_owner{where},
+                   store::read_call{.where = where, .from = from, .maxKilobytes = 1}, now);
+}
+
+void gateway::implementation::complete(const internal::partition_end_owner &owner, const store::reply &result,
+                                       time_point now)
+{
+    if (const auto *expired = std::get_if<store::expired>(&result)) {
+        readPartitionEnd(owner.where, expired->first, now);
+    } else if (const auto *read = std::get_if<store::records_read>(&result)) {
+        if (read->end > 0) {
+            markTurnAppend(owner.where, read->end, now);
+        }
+    } else if (const auto *reason = std::get_if<store::failure>(&result)) {
+        log(log_level::Debug, "partition_end_unknown",
+            {{"reason", store::nameOf(*reason)}, {"topic", owner.where.topic}, {"part", owner.where.number}});
+    }
 }
 
 void gateway::implementation::complete(const internal::trim_owner &owner, const store::reply &result, time_point now)
--- a/src/gateway/turns.cc
+++ b/src/gateway/turns.cc
@@ -50,6 +50,11 @@
     return partitionFor(turnTopicPrefix, fallback ? turn + "/2" : turn, layout.turnTopics, layout.partsPerTopic);
 }
 
+store::partition gateway::implementation::turnPartitionAt(std::uint32_t topic, std::uint32_t part)
+{
+    return {fmt::format("{}-{}", turnTopicPrefix, topic), part};
+}
+
 // The location of a record in a partition of turns.
 programs::turn_location gateway::implementation::locationOf(const store::partition &where, std::uint64_t offset,
                                                             std::size_t bytes)
@@ -160,8 +165,7 @@
 void gateway::implementation::readTurn(const request_context &context, std::size_t index, time_point now)
 {
     const auto &place = context.historyRead->places.at(index);
-    store::read_call call{.where = {fmt::format("{}-{}", turnTopicPrefix, place.topic), place.part},
-                          .from = place.offset};
+    store::read_call call{.where = turnPartitionAt(place.topic, place.part), .from = place.offset};
     if (context.historyRead->bounded) {
         call.maxKilobytes = place.bytes / bytesPerKilobyte + readKilobytesReserve;
     }
