gateway: segments of a history go to their fallback partitions

Callers got a complete turn whose history was later gone: a turn that continues it near the end of its retention was refused with HistoryUnavailable (503).

A history over 160 KB is written again in segments when it is older than a sixth of the retention. A turn record goes to its fallback partition when the primary one does not take it in 250 ms, segments had half of the write timeout for the primary partition alone. One silent partition was enough for the turn to keep its old ancestors, which are deleted before its own retention ends.

Each segment now falls back like the turn record, after the same time and with the same 2 s during which a failing partition is passed over, and within the same half of the turn's 1.8 s.

SegmentWrites.GoToTheirFallbackPartitions makes the topics of the segments and of the turn silent for a chain that is 40 s old and continues the turn 55 s later, after a restart. With the retry in the fallback partition disabled:

world.logLinesOf("segment_not_written") Which is: 1, expected 0 response.status Which is: 503, expected 200 world.runsOf("last") Which is: 0, expected 1

With it the test passes, and the 12 tests of turns_test do.

--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -196,6 +196,7 @@
     void startTurnWrite(request_context &context, time_point now);
     [[nodiscard]] bool reachesBackTooFar(const request_context &context, time_point now) const;
     void startSegmentWrites(request_context &context, time_point now);
+    void appendSegment(request_context &context, std::size_t index, time_point now);
     void onSegmentWritten(request_context &context, std::size_t index, const store::ticket_result &result,
                           time_point now);
     void writeTurnRecord(request_context &context, time_point now);
@@ -209,6 +210,9 @@
     [[nodiscard]] static programs::turn_location locationOf(const store::partition &where, std::uint64_t offset,
                                                             std::size_t bytes);
     void appendTurn(request_context &context, time_point now);
+    [[nodiscard]] std::chrono::milliseconds primaryTimeout() const;
+    [[nodiscard]] bool isFailing(const store::partition &where, time_point now) const;
+    void markFailing(const store::partition &where, time_point now);
 
     // turn_trimming.cc
     void updateTurnRetention(const routing::configuration &configuration);
@@ -460,7 +464,7 @@
     time_point m_trimCheckAt{};
     time_point m_fullCheckAt{};
     std::uint32_t m_nextFullPartition = 0; // Of those that are considered while the store is full, the next one.
-    std::map<store::partition, time_point> m_partitionBackoffUntil; // Until then turns go to their fallback partitions.
+    std::map<store::partition, time_point> m_partitionBackoffUntil; // By primary partition of turns.
 
     time_point m_lastRequestFinishedAt{};
     std::optional<time_point> m_shutdownBegan;
--- a/src/gateway/internal/request_context.h
+++ b/src/gateway/internal/request_context.h
@@ -36,7 +36,8 @@
 struct segment_write
 {
     std::string id;
-    std::size_t bytes = 0; // Of the record.
+    std::string record; // Encoded.
+    bool useFallbackPartition = false; // Writing to the primary partition did not succeed.
     std::optional<programs::turn_location> location; // Unset until written.
 };
 
--- a/src/gateway/turn_writes.cc
+++ b/src/gateway/turn_writes.cc
@@ -15,11 +15,13 @@
 
 // How long the end of a response may wait for the write of its turn; callers abandon a stream after 2 s of silence.
 constexpr milliseconds turnWriteTimeout{1800};
-// After this time, or primaryWriteLatencyFactor times the smoothed store latency if that is longer, the turn is written
-// to its fallback partition.
+// How long of that the segments of the history may take; the rest is for the record of the turn.
+constexpr milliseconds segmentWriteTimeout = turnWriteTimeout / 2;
+// After this time, or primaryWriteLatencyFactor times the smoothed store latency if that is longer, a turn or segment
+// is written to its fallback partition.
 constexpr milliseconds primaryWriteTimeout{250};
 constexpr int primaryWriteLatencyFactor = 3;
-// How long turns go to their fallback partitions after a write to their primary partition failed.
+// How long turns and segments go to their fallback partitions after a write to their primary partition failed.
 constexpr milliseconds partitionBackoff{2000};
 // The largest text that is written again in one record; the store accepts records of 256 KB.
 constexpr std::size_t maxSegmentBytes = 160U << 10U;
@@ -60,20 +62,31 @@
 void gateway::implementation::startSegmentWrites(request_context &context, time_point now)
 {
     const auto &history = context.history;
-    const auto deadline = now + (context.turnWriteDeadline - now) / 2;
+    auto &segments = context.segments;
     for (std::size_t begin = 0; begin < history.size(); begin += maxSegmentBytes) {
-        const programs::turn segment{.id = fmt::format("{}\n{}", context.request.attempt, context.segments.size()),
-                                     .previous = context.segments.empty() ? std::string() : context.segments.back().id,
-                                     .text = history.substr(begin, maxSegmentBytes),
-                                     .ancestors = {}};
+        programs::turn segment{.id = fmt::format("{}\n{}", context.request.attempt, segments.size()),
+                               .previous = segments.empty() ? std::string() : segments.back().id,
+                               .text = history.substr(begin, maxSegmentBytes),
+                               .ancestors = {}};
         auto record = programs::encodeRecord(segment);
-        const auto index = context.segments.size();
-        context.segments.push_back({.id = segment.id, .bytes = record.size(), .location = std::nullopt});
-        const auto ticket = m_log.append(turnPartition(segment.id, false), std::move(record), deadline);
-        m_tickets.emplace(ticket, ticket_owner{context.id, ticket_use::WriteSegment, index});
+        const bool useFallback = isFailing(turnPartition(segment.id, false), now);
+        segments.push_back({.id = std::move(segment.id),
+                            .record = std::move(record),
+                            .useFallbackPartition = useFallback,
+                            .location = std::nullopt});
+        appendSegment(context, segments.size() - 1, now);
     }
 }
 
+void gateway::implementation::appendSegment(request_context &context, std::size_t index, time_point now)
+{
+    const auto &segment = context.segments.at(index);
+    const auto last = context.turnWriteBegan + segmentWriteTimeout;
+    const auto deadline = segment.useFallbackPartition ? last : std::min(last, now + primaryTimeout());
+    const auto ticket = m_log.append(turnPartition(segment.id, segment.useFallbackPartition), segment.record, deadline);
+    m_tickets.emplace(ticket, ticket_owner{context.id, ticket_use::WriteSegment, index});
+}
+
 void gateway::implementation::onSegmentWritten(request_context &context, std::size_t index,
                                                const store::ticket_result &result, time_point now)
 {
@@ -81,6 +94,14 @@
     if (segments.empty()) {
         return; // Another one could not be written.
     }
+    auto &segment = segments.at(index);
+    const auto where = turnPartition(segment.id, segment.useFallbackPartition);
+    if (!result.done && !segment.useFallbackPartition) {
+        markFailing(where, now);
+        segment.useFallbackPartition = true;
+        appendSegment(context, index, now);
+        return;
+    }
     if (!result.done) {
         // The old records still exist; a later turn of the chain writes the segments.
         segments.clear();
@@ -88,9 +109,7 @@
         writeTurnRecord(context, now);
         return;
     }
-    auto &segment = segments.at(index);
-    const auto where = turnPartition(segment.id, false);
-    segment.location = locationOf(where, result.offset, segment.bytes);
+    segment.location = locationOf(where, result.offset, segment.record.size());
     markTurnAppend(where, result.offset + 1, now);
     if (!std::ranges::all_of(segments, [](const auto &entry) { return entry.location.has_value(); })) {
         return;
@@ -112,30 +131,45 @@
                                                                .ancestors = context.chain.records,
                                                                .historyHash = programs::hashHistory(context.history),
                                                                .tokens = tokensDelivered(context)});
-    const auto failing = m_partitionBackoffUntil.find(turnPartition(context.request.attempt, false));
-    context.useFallbackPartition = failing != m_partitionBackoffUntil.end() && failing->second > now;
+    context.useFallbackPartition = isFailing(turnPartition(context.request.attempt, false), now);
     appendTurn(context, now);
 }
 
 void gateway::implementation::appendTurn(request_context &context, time_point now)
 {
-    const auto primaryTimeout =
-        std::max<milliseconds>(primaryWriteTimeout, m_store.smoothedLatency() * primaryWriteLatencyFactor);
     const auto deadline = context.useFallbackPartition ? context.turnWriteDeadline
-                                                       : std::min(context.turnWriteDeadline, now + primaryTimeout);
+                                                       : std::min(context.turnWriteDeadline, now + primaryTimeout());
     const auto ticket = m_log.append(turnPartition(context.request.attempt, context.useFallbackPartition),
                                      context.turnRecord, deadline);
     m_tickets.emplace(ticket, ticket_owner{context.id, ticket_use::WriteTurn});
 }
 
+// How long a write to a primary partition may take before it goes to the fallback partition.
+milliseconds gateway::implementation::primaryTimeout() const
+{
+    return std::max<milliseconds>(primaryWriteTimeout, m_store.smoothedLatency() * primaryWriteLatencyFactor);
+}
+
+// Whether a recent write to this primary partition failed.
+bool gateway::implementation::isFailing(const store::partition &where, time_point now) const
+{
+    const auto found = m_partitionBackoffUntil.find(where);
+    return found != m_partitionBackoffUntil.end() && found->second > now;
+}
+
+void gateway::implementation::markFailing(const store::partition &where, time_point now)
+{
+    log(log_level::Warning, "partition_failing", {{"topic", where.topic}, {"part", where.number}});
+    m_partitionBackoffUntil[where] = now + partitionBackoff;
+}
+
 void gateway::implementation::onTurnWritten(request_context &context, const store::ticket_result &result,
                                             time_point now)
 {
     const auto &turn = context.request.attempt;
     const auto where = turnPartition(turn, context.useFallbackPartition);
     if (!result.done && !context.useFallbackPartition) {
-        log(log_level::Warning, "partition_failing", {{"topic", where.topic}, {"part", where.number}});
-        m_partitionBackoffUntil[where] = now + partitionBackoff;
+        markFailing(where, now);
         context.useFallbackPartition = true;
         appendTurn(context, now);
         return;
