--- a/src/gateway/budgets.cc
+++ b/src/gateway/budgets.cc
@@ -7,7 +7,7 @@
 
 #include <algorithm>
 #include <iterator>
-#include <ranges>
+#include <span>
 #include <utility>
 #include <xxhash.h>
 
@@ -50,7 +50,7 @@
 {
     constexpr std::size_t maxDescribed = 8;
     std::string text;
-    for (const auto &entry : reservations | std::views::take(maxDescribed)) {
+    for (const auto &entry : std::span(reservations).first(std::min(reservations.size(), maxDescribed))) {
         text += fmt::format("{}{}:{}:{}", text.empty() ? "" : ",", entry.attempt, entry.tokens,
                             millisecondsBetween(entry.since, now).count());
     }
