--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -34,6 +34,12 @@
     return headers;
 }
 
+// The input of the turn that is sent after the pause.
+std::string lastInput()
+{
+    return std::string(5000, 'c');
+}
+
 struct turn_result
 {
     std::string attempt;
@@ -64,8 +70,22 @@
 {
     const auto folder = openStage(argc > 1 ? argv[1] : "record.txt");
     store platform;
+    std::atomic<bool> away{false};
+    // Takes the store down for a while.
+    const auto beginOutage = [&away] {
+        std::thread([&away] {
+            away = true;
+            note("the store is down");
+            sleepMs(outageMs);
+            away = false;
+            note("the store is back");
+        }).detach();
+    };
     engine *self = nullptr;
     engine llm("llm-1", "engines", [&](int file, const message &request) {
+        if (troubled() && request.body.ends_with(lastInput())) {
+            beginOutage();
+        }
         std::string head = "HTTP/1.1 200 OK\r\n";
         for (const auto &[name, value] : self->heads(request, "text/event-stream")) {
             head += name + ": " + value + "\r\n";
@@ -79,7 +99,6 @@
         return sendAll(file, chunk(events) + "0\r\n\r\n");
     });
     self = &llm;
-    std::atomic<bool> away{false};
     platform.put("keyed.op", "config", configuration(1).dump());
     llm.announce(platform);
     platform.setHook([&away](int file, const message &) {
@@ -114,17 +133,7 @@
     while (nowMs() < paused + pauseMs) {
         sleepMs(20);
     }
-    if (troubled()) {
-        std::thread([&] {
-            sleepMs(engineMs); // The engine is at work on the turn.
-            away = true;
-            note("the store is down");
-            sleepMs(outageMs);
-            away = false;
-            note("the store is back");
-        }).detach();
-    }
-    const auto kept = sendTurn(first, program, std::string(5000, 'c'), before.attempt, false);
+    const auto kept = sendTurn(first, program, lastInput(), before.attempt, false);
     const auto answered = nowMs();
     if (kept.status != 200 || !kept.whole) {
         finish(exitNotRun, "the turn was not answered whole, so nothing is owed");
--- a/review/standins/stage.hpp
+++ b/review/standins/stage.hpp
@@ -16,6 +16,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <fcntl.h>
+#include <filesystem>
 #include <functional>
 #include <map>
 #include <memory>
@@ -948,7 +949,13 @@
 
 // ---- The folder of a run ----
 
-// Makes a temporary folder and opens the record. The folder is left to the system.
+inline std::string &stageFolder()
+{
+    static std::string folder;
+    return folder;
+}
+
+// Makes a temporary folder for settings and logs, and opens the record.
 inline std::string openStage(const std::string &record)
 {
     ::signal(SIGPIPE, SIG_IGN);
@@ -960,10 +967,12 @@
         std::exit(exitNotRun);
     }
     note("disruption: %s", troubled() ? "yes" : "no");
+    stageFolder() = pattern;
     return pattern;
 }
 
-// Notes the verdict and ends the process; threads of stand-ins may still wait for connections.
+// Notes the verdict, ends the daemons and the process, and removes the folder unless KEEP_LOGS is set. Threads of
+// stand-ins may still wait for connections.
 [[noreturn]] inline void finish(int code, const std::string &text)
 {
     note("verdict: %s (%d)", text.c_str(), code);
@@ -973,6 +982,10 @@
         ::kill(process, SIGKILL);
         ::waitpid(process, nullptr, 0);
     }
+    if (std::getenv("KEEP_LOGS") == nullptr && !stageFolder().empty()) {
+        std::error_code ignored;
+        std::filesystem::remove_all(stageFolder(), ignored);
+    }
     ::_exit(code);
 }
 
