A turn ends as whole only if its records outlive its retention

What callers saw: a conversation of 180 KB was continued after a pause of 55 s while the store refused everything for 1.2 s. The turn was answered whole; from 27 s later on every request that continued it got 503 (HistoryUnavailable).

Cause: the records before the turn were older than a sixth of the retention, so the history had to be written again in segments. That was begun only when the response was complete and given up after 0.9 s; the turn was then written with the places of the old records, "a later turn writes the segments". No such turn need come, and the old records are deleted 75 s after they were written.

Change: the history and the input do not depend on the response, so segments are written while the endpoint works and tried again; the end of the response waits 1.55 s for what is missing. Before the response ends, the oldest record of the chain must outlive the retention whatever happened; a turn for which it does not is broken off and does not look whole. The log tells the age and the remaining life of the oldest record.

Related paths with the same cause, mended with it: a daemon that stands still between the write and the end of the response; a chain whose age is not known; an input over the largest record of the store, whose turn was run and broken off at its end (now split).

Ruled out: deletion too early by the marks themselves. Marks are merged towards the later time, and lost ones delay deletions only.

--- a/src/gateway/dispatching.cc
+++ b/src/gateway/dispatching.cc
@@ -131,6 +131,9 @@
     context.dispatch = dispatch_id{++m_lastDispatch};
     ++context.sends;
     m_dispatches.emplace(*context.dispatch, context.id);
+    if (!context.segmentedWrite.has_value()) {
+        planSegments(context, segmentsDueAt(context, now));
+    }
     logRequest(log_level::Info, "request_dispatched", context,
                {{"endpoint", chosen.id},
                 {"send", context.sends},
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -2,10 +2,11 @@
 
 // The state and the event handlers of the gateway, grouped by file: requests.cc (arrival, refusal, completion),
 // budgets.cc (reservations), settlements.cc (what they were used for), turns.cc (histories), turn_writes.cc (their
-// records), turn_trimming.cc (deletion of these), dispatching.cc (endpoints), endpoint_limits.cc (their rate limits),
-// endpoint_leaving.cc (those that leave), relaying.cc (paths to them, dispatch through peers), crash_reports.cc
-// (requests that crash endpoints), platform_state.cc (store, watches, reports), daemon_records.cc (the records of the
-// daemons), peer_links.cc (the links to them), shutdown.cc (readiness and shutdown).
+// records), segment_writes.cc (of long ones), turn_trimming.cc (deletion of these), dispatching.cc (endpoints),
+// endpoint_limits.cc (their rate limits), endpoint_leaving.cc (those that leave), relaying.cc (paths to them, dispatch
+// through peers), crash_reports.cc (requests that crash endpoints), platform_state.cc (store, watches, reports),
+// daemon_records.cc (the records of the daemons), peer_links.cc (the links to them), shutdown.cc (readiness and
+// shutdown).
 
 #include "admission/admission.h"
 #include "gateway/gateway.h"
@@ -195,12 +196,10 @@
     void dispatchIfPrepared(request_context &context, time_point now);
     void startTurnWrite(request_context &context, time_point now);
     [[nodiscard]] bool reachesBackTooFar(const request_context &context, time_point now) const;
-    void startSegmentWrites(request_context &context, time_point now);
-    void appendSegment(request_context &context, std::size_t index, time_point now);
-    void onSegmentWritten(request_context &context, std::size_t index, const store::ticket_result &result,
-                          time_point now);
-    void writeTurnRecord(request_context &context, time_point now);
+    void writeTurn(request_context &context, time_point now);
+    void writeTurnRecord(request_context &context, std::string text, time_point now);
     void onTurnWritten(request_context &context, const store::ticket_result &result, time_point now);
+    void breakOffUnkept(request_context &context, time_point now);
     [[nodiscard]] std::uint32_t tokensPerEvent(const request_context &context) const;
     [[nodiscard]] std::uint32_t tokensDelivered(const request_context &context) const;
     [[nodiscard]] store::partition programPartition(const std::string &program) const;
@@ -214,11 +213,33 @@
     [[nodiscard]] bool isFailing(const store::partition &where, time_point now) const;
     void markFailing(const store::partition &where, time_point now);
 
+    // segment_writes.cc
+    // The largest text of a turn or segment that is written in one record; the store accepts records of 256 KB.
+    static constexpr std::size_t maxSegmentBytes = 160U << 10U;
+
+    [[nodiscard]] static std::string_view unwrittenInput(const request_context &context);
+    [[nodiscard]] static time_point segmentsDeadline(const request_context &context);
+    [[nodiscard]] std::optional<time_point> segmentsDueAt(const request_context &context, time_point now) const;
+    void planSegments(request_context &context, std::optional<time_point> when);
+    void continueDueSegments(time_point now);
+    [[nodiscard]] std::optional<time_point> nextSegments() const;
+    void startSegments(request_context &context, bool rewrites, std::string_view text, time_point now);
+    void appendSegment(const request_context &context, internal::segment &segment, time_point now);
+    void retrySegments(request_context &context, time_point now);
+    void onSegmentWritten(request_context &context, std::size_t number, const store::ticket_result &result,
+                          time_point now);
+    void onSegmentFailed(request_context &context, internal::segment &segment, const store::partition &where,
+                         time_point now);
+    void onAllSegmentsWritten(request_context &context, time_point now);
+    void abandonSegments(request_context &context, time_point now);
+
     // turn_trimming.cc
     void updateTurnRetention(const routing::configuration &configuration);
     [[nodiscard]] std::chrono::milliseconds turnRetention() const;
     [[nodiscard]] std::chrono::milliseconds checkpointAge() const;
     [[nodiscard]] std::chrono::milliseconds turnKeepTime() const;
+    [[nodiscard]] bool outlivesRetention(const programs::turn_chain &chain, time_point responseEnd) const;
+    [[nodiscard]] std::vector<log_field> chainFields(const programs::turn_chain &chain, time_point now) const;
     void markTurnAppend(const store::partition &where, std::uint64_t end, time_point now);
     void tellTrimmers(const peers::turn_mark &mark, time_point now);
     void applyTurnMark(const peers::turn_mark &mark, time_point now);
@@ -460,6 +481,7 @@
     time_point m_lastHeardAt{}; // When anything was last received from an endpoint, without a peer between.
     time_point m_silenceCheckAt{};
     std::map<store::ticket_id, ticket_owner> m_tickets;
+    std::set<std::pair<time_point, caller_id>> m_segmentsDue; // When requests go on writing segments.
     internal::trim_marks m_marks;
     time_point m_trimCheckAt{};
     time_point m_fullCheckAt{};
--- a/src/gateway/internal/request_context.h
+++ b/src/gateway/internal/request_context.h
@@ -32,15 +32,26 @@
     bool bounded = true; // Reads ask for the size of their record; unset if the store cut one off.
 };
 
-// A part of the history that is written again.
-struct segment_write
+// A piece of a text that is too long for one record.
+struct segment
 {
+    std::size_t number = 0; // Counts the segments of the request.
     std::string id;
     std::string record; // Encoded.
-    bool useFallbackPartition = false; // Writing to the primary partition did not succeed.
+    bool useFallbackPartition = false; // For the append under way, or the next one.
+    bool retryPending = false; // No append is under way.
     std::optional<programs::turn_location> location; // Unset until written.
 };
 
+// A text that is being written in segments, which follow the records of a chain.
+struct segmented_write
+{
+    programs::turn_chain before; // Empty if the segments hold the whole history.
+    time_point began;
+    std::vector<segment> segments;
+    std::optional<std::string> rest; // The text for the record of the turn; unset until the response is complete.
+};
+
 struct request_context
 {
     caller_id id{};
@@ -96,9 +107,11 @@
     std::uint32_t eventCount = 0;
     std::optional<time_point> lastEventAt;
     std::string responseText; // Event data of a retained turn, or the body of a buffered response.
-    std::string turnText; // Input and output of the turn.
-    std::string previousRecord; // Id of the record before that of the turn.
-    std::vector<segment_write> segments; // Records of the history before the turn that are being written again.
+    std::string previousRecord; // Id of the last record of `chain`.
+    bool inputWritten = false; // `chain` holds the input of the turn after the history.
+    std::optional<segmented_write> segmentedWrite; // Set while segments are written.
+    std::optional<time_point> segmentsDue; // When segments are begun or tried again while the endpoint works.
+    std::size_t segmentCount = 0;
     time_point turnWriteBegan{};
     time_point turnWriteDeadline{};
     std::string turnRecord; // The encoded record of the turn.
--- a/src/gateway/platform_state.cc
+++ b/src/gateway/platform_state.cc
@@ -73,6 +73,7 @@
     trimDuePartitions(now);
     markFullPartitions(now);
     dispatchWaiting(now);
+    continueDueSegments(now);
     for (const auto link : m_store.tick(now)) {
         m_peers.markStoreUnreachable(link);
     }
@@ -100,6 +101,7 @@
     consider(nextBudgetDeadline());
     consider(nextTrimCheck());
     consider(nextWaitingDispatch());
+    consider(nextSegments());
     consider(nextCrashWrite());
     consider(m_paths.nextProbe());
     consider(m_store.nextDeadline());
--- a/src/gateway/requests.cc
+++ b/src/gateway/requests.cc
@@ -81,6 +81,7 @@
     context.route = route;
     context.service = routing::chooseService(*route, trafficSplitPosition(received.request));
     context.request = std::move(received.request);
+    context.previousRecord = context.request.previousTurn;
     context.arrived = now;
     context.deadline = now + timeoutFor(context.request, *route);
     context.identity = identityOf(context.request);
@@ -193,6 +194,7 @@
     }
     m_lastRequestFinishedAt = now;
     m_deadlines.erase({context.deadline, context.id});
+    planSegments(context, std::nullopt);
     m_requests.erase(context.id);
 }
 
--- a/src/gateway/testing/gateway_world.h
+++ b/src/gateway/testing/gateway_world.h
@@ -10,6 +10,7 @@
 //   EXPECT_EQ(response.status, 200);
 
 #include "gateway/gateway.h"
+#include "programs/programs.h"
 
 #include <deque>
 #include <functional>
@@ -174,6 +175,9 @@
     [[nodiscard]] std::size_t recordCount(std::string_view topicPrefix) const;
     // Bytes of the records that these topics hold.
     [[nodiscard]] std::size_t storedBytes(std::string_view topicPrefix) const;
+    // Where the store holds the record of the turn; unset if it does not. `ancestors` gets the places before it.
+    [[nodiscard]] std::optional<programs::turn_location>
+    findTurn(const std::string &turn, std::vector<programs::turn_location> &ancestors) const;
     // Topics that hold at least one record.
     [[nodiscard]] std::set<std::string> topics() const;
 
@@ -185,6 +189,7 @@
     std::map<std::string, endless_response> endlessResponses; // By endpoint id; precede the behaviour.
     std::size_t endlessBytes = 0; // Sent in endless responses.
     std::set<std::string> refusedKeyPrefixes; // The store refuses to write records with these keys.
+    std::optional<std::string> refusedTopicPrefix; // The store refuses all calls for topics that begin so.
     std::set<std::string> unavailableTopics; // The store never replies to calls for these topics.
     std::set<std::pair<int, int>> blockedLinks; // Daemons (from, to).
     std::map<int, path_behaviour> endpointPaths; // By daemon; Open if missing.
@@ -197,6 +202,7 @@
     std::map<std::string_view, int> storeCallCounts; // By the name of the call.
     std::size_t appendedBytes = 0; // By all appends to topics of turns.
     std::size_t readBytes = 0; // By all reads of topics of turns.
+    std::function<void(const store::trim_call &)> onTrim; // Called before records are deleted.
 
 private:
     struct daemon_state
--- a/src/gateway/turn_trimming.cc
+++ b/src/gateway/turn_trimming.cc
@@ -22,6 +22,8 @@
 // A turn is retained from the end of its response, at most 1.8 s after its record was written; a request that continues
 // it may read it for 1.2 s. The rest covers delays of the events between these.
 constexpr milliseconds keepMargin{5000};
+// Of that, the time for the reads of a request that comes at the end of the retention.
+constexpr milliseconds readReserve{2000};
 // If no route states one.
 constexpr milliseconds defaultRetention{60000};
 constexpr std::size_t trimmersPerPartition = 3;
@@ -59,6 +61,24 @@
     return turnRetention() + checkpointAge() + keepMargin;
 }
 
+// Whether all records of the chain of a turn exist until the retention of the turn has passed, if its response ends at
+// this time.
+bool gateway::implementation::outlivesRetention(const programs::turn_chain &chain, time_point responseEnd) const
+{
+    return chain.began.has_value() && responseEnd + turnRetention() + readReserve <= *chain.began + turnKeepTime();
+}
+
+// What the log tells of a chain whose records may be deleted too early.
+std::vector<log_field> gateway::implementation::chainFields(const programs::turn_chain &chain, time_point now) const
+{
+    std::vector<log_field> fields{{"records", chain.records.size()}, {"retention_ms", turnRetention().count()}};
+    if (chain.began.has_value()) {
+        fields.emplace_back("oldest_record_age_ms", millisecondsBetween(*chain.began, now).count());
+        fields.emplace_back("oldest_record_life_ms", millisecondsBetween(now, *chain.began + turnKeepTime()).count());
+    }
+    return fields;
+}
+
 // Tells the daemons that delete the records of a partition that all records before `end` exist.
 void gateway::implementation::markTurnAppend(const store::partition &where, std::uint64_t end, time_point now)
 {
--- a/src/gateway/turn_writes.cc
+++ b/src/gateway/turn_writes.cc
@@ -3,7 +3,6 @@
 #include "gateway/internal/implementation.h"
 
 #include <algorithm>
-#include <iterator>
 
 namespace jackdawpick::gateway
 {
@@ -15,37 +14,29 @@
 
 // How long the end of a response may wait for the write of its turn; callers abandon a stream after 2 s of silence.
 constexpr milliseconds turnWriteTimeout{1800};
-// How long of that the segments of the history may take; the rest is for the record of the turn.
-constexpr milliseconds segmentWriteTimeout = turnWriteTimeout / 2;
+// How much of that is left to the record of the turn when its segments are abandoned.
+constexpr milliseconds turnRecordTime{250};
 // After this time, or primaryWriteLatencyFactor times the smoothed store latency if that is longer, a turn or segment
 // is written to its fallback partition.
 constexpr milliseconds primaryWriteTimeout{250};
 constexpr int primaryWriteLatencyFactor = 3;
 // How long turns and segments go to their fallback partitions after a write to their primary partition failed.
 constexpr milliseconds partitionBackoff{2000};
-// The largest text that is written again in one record; the store accepts records of 256 KB.
-constexpr std::size_t maxSegmentBytes = 160U << 10U;
 
 } // namespace
 
 void gateway::implementation::startTurnWrite(request_context &context, time_point now)
 {
     context.phase = request_phase::WritingTurn;
-    context.turnText = context.request.body + context.responseText;
-    context.previousRecord = context.request.previousTurn;
     context.turnWriteBegan = now;
     context.turnWriteDeadline = now + turnWriteTimeout;
-    if (!reachesBackTooFar(context, now)) {
-        writeTurnRecord(context, now);
-    } else if (context.history.size() + context.turnText.size() <= maxSegmentBytes) {
-        context.turnText.insert(0, context.history);
-        context.history.clear();
-        context.chain = {};
-        writeTurnRecord(context, now);
+    settleReservation(context, true, now);
+    if (context.segmentedWrite.has_value()) {
+        retrySegments(context, now);
     } else {
-        startSegmentWrites(context, now);
+        planSegments(context, std::nullopt);
+        writeTurn(context, now);
     }
-    settleReservation(context, true, now);
 }
 
 // Whether the records of the chain must be replaced by new ones: records are deleted turnKeepTime() after they were
@@ -54,80 +45,41 @@
 bool gateway::implementation::reachesBackTooFar(const request_context &context, time_point now) const
 {
     const auto &chain = context.chain;
-    return !chain.records.empty() && (!chain.began.has_value() || now - *chain.began > checkpointAge());
+    return !chain.records.empty() && (!chain.began.has_value() || now - *chain.began >= checkpointAge());
 }
 
-// Writes the history before the turn again, in records that each fit the store. They form a chain like turns do. The
-// line feed in their ids keeps requests from naming them.
-void gateway::implementation::startSegmentWrites(request_context &context, time_point now)
+// The time at which the end of a response stops waiting for segments.
+time_point gateway::implementation::segmentsDeadline(const request_context &context)
 {
-    const auto &history = context.history;
-    auto &segments = context.segments;
-    for (std::size_t begin = 0; begin < history.size(); begin += maxSegmentBytes) {
-        programs::turn segment{.id = fmt::format("{}\n{}", context.request.attempt, segments.size()),
-                               .previous = segments.empty() ? std::string() : segments.back().id,
-                               .text = history.substr(begin, maxSegmentBytes),
-                               .ancestors = {}};
-        auto record = programs::encodeRecord(segment);
-        const bool useFallback = isFailing(turnPartition(segment.id, false), now);
-        segments.push_back({.id = std::move(segment.id),
-                            .record = std::move(record),
-                            .useFallbackPartition = useFallback,
-                            .location = std::nullopt});
-        appendSegment(context, segments.size() - 1, now);
-    }
+    return context.turnWriteDeadline - turnRecordTime;
 }
 
-void gateway::implementation::appendSegment(request_context &context, std::size_t index, time_point now)
+// Writes what the records of the chain do not hold, or everything if these are too old.
+void gateway::implementation::writeTurn(request_context &context, time_point now)
 {
-    const auto &segment = context.segments.at(index);
-    const auto last = context.turnWriteBegan + segmentWriteTimeout;
-    const auto deadline = segment.useFallbackPartition ? last : std::min(last, now + primaryTimeout());
-    const auto ticket = m_log.append(turnPartition(segment.id, segment.useFallbackPartition), segment.record, deadline);
-    m_tickets.emplace(ticket, ticket_owner{context.id, ticket_use::WriteSegment, index});
-}
-
-void gateway::implementation::onSegmentWritten(request_context &context, std::size_t index,
-                                               const store::ticket_result &result, time_point now)
-{
-    auto &segments = context.segments;
-    if (segments.empty()) {
-        return; // Another one could not be written.
-    }
-    auto &segment = segments.at(index);
-    const auto where = turnPartition(segment.id, segment.useFallbackPartition);
-    if (!result.done && !segment.useFallbackPartition) {
-        markFailing(where, now);
-        segment.useFallbackPartition = true;
-        appendSegment(context, index, now);
-        return;
-    }
-    if (!result.done) {
-        // The old records still exist; a later turn of the chain writes the segments.
-        segments.clear();
-        logRequest(log_level::Warning, "segment_not_written", context, {{"segment", index}}, now);
-        writeTurnRecord(context, now);
+    const bool rewrites = reachesBackTooFar(context, now);
+    auto text = rewrites ? context.history + context.request.body : std::string(unwrittenInput(context));
+    text += context.responseText;
+    if (text.size() > maxSegmentBytes) {
+        const auto rest = (text.size() - 1) / maxSegmentBytes * maxSegmentBytes;
+        startSegments(context, rewrites, std::string_view(text).substr(0, rest), now);
+        context.segmentedWrite->rest = text.substr(rest);
+        planSegments(context, segmentsDeadline(context));
         return;
     }
-    segment.location = locationOf(where, result.offset, segment.record.size());
-    markTurnAppend(where, result.offset + 1, now);
-    if (!std::ranges::all_of(segments, [](const auto &entry) { return entry.location.has_value(); })) {
-        return;
+    if (rewrites) {
+        context.chain = {};
     }
-    context.chain = {.records = {}, .began = context.turnWriteBegan};
-    std::ranges::transform(segments, std::back_inserter(context.chain.records),
-                           [](const auto &entry) { return *entry.location; });
-    context.previousRecord = segments.back().id;
-    segments.clear();
-    writeTurnRecord(context, now);
+    writeTurnRecord(context, std::move(text), now);
 }
 
-void gateway::implementation::writeTurnRecord(request_context &context, time_point now)
+void gateway::implementation::writeTurnRecord(request_context &context, std::string text, time_point now)
 {
-    context.history += context.turnText;
+    context.history += context.request.body;
+    context.history += context.responseText;
     context.turnRecord = programs::encodeRecord(programs::turn{.id = context.request.attempt,
                                                                .previous = context.previousRecord,
-                                                               .text = std::move(context.turnText),
+                                                               .text = std::move(text),
                                                                .ancestors = context.chain.records,
                                                                .historyHash = programs::hashHistory(context.history),
                                                                .tokens = tokensDelivered(context)});
@@ -183,14 +135,26 @@
     if (chain.records.empty()) {
         chain.began = context.turnWriteBegan;
     }
+    markTurnAppend(where, result.offset + 1, now);
+    if (!outlivesRetention(chain, now)) {
+        breakOffUnkept(context, now); // This process has stood still meanwhile.
+        return;
+    }
     chain.records.push_back(locationOf(where, result.offset, context.turnRecord.size()));
     chain.tokens = tokensDelivered(context);
     m_turns.add(turn, std::move(context.history), std::move(chain), now);
-    markTurnAppend(where, result.offset + 1, now);
     m_effects.emplace_back(end_response{context.id});
     finishRequest(context, internal::answeredOutcome, now);
 }
 
+// Ends the response of a turn whose records are not kept until its retention ends, so that it does not look whole.
+void gateway::implementation::breakOffUnkept(request_context &context, time_point now)
+{
+    logRequest(log_level::Warning, "turn_not_kept", context, chainFields(context.chain, now), now);
+    m_effects.emplace_back(abort_response{context.id});
+    finishRequest(context, "turn_not_kept", now);
+}
+
 std::uint32_t gateway::implementation::tokensPerEvent(const request_context &context) const
 {
     const auto *service = context.table->findService(context.service);
