A stopping daemon finishes what it accepts

What callers saw: around SIGTERM requests ended without a whole answer: some were run and cut when the process ended, others met the close of their kept connections.

Cause: the daemon accepted requests until its own limit, 7 s after SIGTERM, and never ran out of work while callers with old lists came; what was under way then was cut. All idle connections were closed at one moment, 3.0 s after SIGTERM, without an answer that had announced it. A connection whose answer was still queued counted as idle. A process that got a signal before it handled signals ended at once.

Change: each answer from SIGTERM on announces the close of its connection; from 3.0 s on requests are refused as not run; then the queues of the listeners are emptied, they are closed, and the process ends when the last connection has closed. Open requests get an answer before the limit. What a connection held when it is closed is logged.

--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -133,6 +133,7 @@
 
 int main(int argc, char **argv)
 {
+    net::holdSignals();
     try {
         const auto arguments = docopt::docopt(usageText, {argv + 1, argv + argc}, true, versionText);
         const auto file = settingsFile(arguments.at("--config"));
--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -224,18 +224,20 @@
     std::chrono::milliseconds time{0};
 };
 
-// Closes idle connections of callers, and from then on every connection after its current response.
-struct close_idle_connections
+// From now on each response closes the connection of its caller.
+struct close_after_responses
 {
 };
 
-// Ends the process; the graceful shutdown is complete.
+// Ends the process when all connections of callers are closed: no more are accepted, and requests that arrive on the
+// open ones still become events.
 struct stop_process
 {
+    std::chrono::milliseconds closeTime{0}; // The process ends then in any case.
 };
 
 using effect = std::variant<start_response, response_bytes, end_response, abort_response, refuse, start_dispatch,
                             cancel_dispatch, probe_endpoint, make_store_call, open_link, send_message, close_link,
-                            log_line, increment_counter, record_duration, close_idle_connections, stop_process>;
+                            log_line, increment_counter, record_duration, close_after_responses, stop_process>;
 
 } // namespace jackdawpick::gateway
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -86,6 +86,7 @@
     void finishRequest(request_context &context, std::string_view outcome, time_point now);
     void expireRequests(time_point now);
     void expireRequest(request_context &context, time_point now);
+    void breakOff(request_context &context, result_code code, std::string_view outcome, time_point now);
     [[nodiscard]] request_context *findRequest(caller_id id);
     void logRequest(log_level level, std::string_view name, const request_context &context,
                     std::vector<log_field> fields, time_point now);
@@ -419,6 +420,8 @@
     // This process has not run for some time: what it was allowed to do then may not be allowed any more.
     void onResumed(std::chrono::milliseconds pause, time_point now);
     void tickShutdown(time_point now);
+    [[nodiscard]] bool refusesArrivals(time_point now) const;
+    void endOpenRequests(time_point now);
     [[nodiscard]] bool hasOpenWork() const;
     [[nodiscard]] std::optional<time_point> nextShutdownStep() const;
     [[nodiscard]] peers::heartbeat ownHeartbeat(time_point now) const;
@@ -490,7 +493,6 @@
 
     time_point m_lastRequestFinishedAt{};
     std::optional<time_point> m_shutdownBegan;
-    bool m_idleClosed = false;
     bool m_stopped = false;
 };
 
--- a/src/gateway/relaying.cc
+++ b/src/gateway/relaying.cc
@@ -209,7 +209,7 @@
 {
     const bool blocked = m_crashes.isBlocked(message.request.identity, now);
     const bool leaving = m_pool.isLeaving({message.request.endpoint, message.request.endpointBorn});
-    const bool canRelay = m_relayed.size() < maxRelayedRequests && !m_paths.isCutOff() && !m_stopped;
+    const bool canRelay = m_relayed.size() < maxRelayedRequests && !m_paths.isCutOff() && !refusesArrivals(now);
     const bool accepted = canRelay && !blocked && !leaving;
     log(log_level::Info, accepted ? "request_relayed" : "relay_refused",
         {{"request", message.request.attempt},
@@ -218,6 +218,7 @@
          {"relayed", m_relayed.size()},
          {"blocked", blocked},
          {"leaving", leaving},
+         {"stopping", m_shutdownBegan.has_value()},
          {"endpoints_reachable", !m_paths.isCutOff()}});
     if (!accepted) {
         m_effects.emplace_back(increment_counter{metric::RelayedRequests, "refused", {}});
--- a/src/gateway/requests.cc
+++ b/src/gateway/requests.cc
@@ -70,6 +70,10 @@
         refuseArrival(received, result_code::NotReady, noConfigurationRetryDelay);
         return;
     }
+    if (refusesArrivals(now)) {
+        refuseArrival(received, result_code::Draining, milliseconds(0));
+        return;
+    }
     const auto *route = routeOf(received.request);
     if (route == nullptr) {
         refuseArrival(received, result_code::UnknownRoute, std::nullopt);
@@ -226,6 +230,13 @@
         m_deadlines.emplace(context.deadline, context.id);
         return;
     }
+    breakOff(context, result_code::DeadlineExceeded, "deadline_during_answer", now);
+}
+
+// Ends a request that was dispatched and has no whole response: with the code, or in the middle of the response.
+void gateway::implementation::breakOff(request_context &context, result_code code, std::string_view outcome,
+                                       time_point now)
+{
     if (context.dispatch.has_value()) {
         cancelDispatch(context);
         noteOutcomeUnknown(context, now);
@@ -236,9 +247,9 @@
     }
     if (context.responseStarted) {
         m_effects.emplace_back(abort_response{context.id});
-        finishRequest(context, "deadline_during_answer", now);
+        finishRequest(context, outcome, now);
     } else {
-        refuseRequest(context, result_code::DeadlineExceeded, std::nullopt, now);
+        refuseRequest(context, code, std::nullopt, now);
     }
 }
 
--- a/src/gateway/shutdown.cc
+++ b/src/gateway/shutdown.cc
@@ -3,6 +3,7 @@
 #include "gateway/internal/implementation.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace jackdawpick::gateway
 {
@@ -12,11 +13,16 @@
 
 using std::chrono::milliseconds;
 
-// Callers cache the list of addresses, so requests keep arriving after this daemon has left the list.
+// Callers cache the list of addresses, so requests keep arriving after this daemon has left the list. They are served
+// for acceptTime and refused afterwards, as not run, so that what is accepted can be finished.
+constexpr milliseconds acceptTime{3000};
 constexpr milliseconds minShutdownTime{3200};
-constexpr milliseconds idleCloseLeadTime{200};
 // Time for the end of the last response to be written.
 constexpr milliseconds lastResponseFlushTime{250};
+// Requests that are still open this long before the process must end are ended, so that their callers get a response.
+constexpr milliseconds finalResponseTime{250};
+// A stopping process may take this long beyond its limit to close the connections of its callers.
+constexpr milliseconds minCloseTime{250};
 
 } // namespace
 
@@ -60,10 +66,40 @@
         return;
     }
     m_shutdownBegan = now;
+    m_effects.emplace_back(close_after_responses{});
     requestHeartbeat(internal::peer_table::urgency::Now);
     log(log_level::Info, "shutdown_began", {{"open_requests", m_requests.size()}});
 }
 
+// Whether this daemon stops so soon that requests which arrive are refused.
+bool gateway::implementation::refusesArrivals(time_point now) const
+{
+    return m_shutdownBegan.has_value()
+        && now - *m_shutdownBegan >= std::min(acceptTime, m_options.shutdownTimeout - finalResponseTime);
+}
+
+// Ends the requests that did not finish in time.
+void gateway::implementation::endOpenRequests(time_point now)
+{
+    std::vector<caller_id> open;
+    std::ranges::transform(m_requests, std::back_inserter(open), [](const auto &entry) { return entry.first; });
+    for (const auto id : open) {
+        auto &context = m_requests.at(id);
+        switch (context.phase) {
+        case request_phase::Preparing:
+            refuseRequest(context, result_code::Draining, milliseconds(0), now);
+            break;
+        case request_phase::Dispatched:
+            breakOff(context, result_code::OutcomeUnknown, "stopped_during_answer", now);
+            break;
+        case request_phase::WritingTurn:
+            m_effects.emplace_back(abort_response{id});
+            finishRequest(context, "turn_not_written", now);
+            break;
+        }
+    }
+}
+
 // Whether requests are open, or settlements of requests of any daemon are not written yet: a reservation whose
 // settlement is lost counts at its most for good.
 bool gateway::implementation::hasOpenWork() const
@@ -78,13 +114,11 @@
     if (!m_shutdownBegan.has_value() || m_stopped) {
         return std::nullopt;
     }
-    if (!m_idleClosed) {
-        return *m_shutdownBegan + minShutdownTime - idleCloseLeadTime;
-    }
     if (!hasOpenWork()) {
         return std::max(*m_shutdownBegan + minShutdownTime, m_lastRequestFinishedAt + lastResponseFlushTime);
     }
-    return *m_shutdownBegan + m_options.shutdownTimeout;
+    const auto limit = *m_shutdownBegan + m_options.shutdownTimeout;
+    return m_requests.empty() ? limit : limit - finalResponseTime;
 }
 
 void gateway::implementation::tickShutdown(time_point now)
@@ -92,16 +126,16 @@
     if (!m_shutdownBegan.has_value() || m_stopped) {
         return;
     }
-    const auto elapsed = now - *m_shutdownBegan;
-    if (!m_idleClosed && elapsed >= minShutdownTime - idleCloseLeadTime) {
-        m_idleClosed = true;
-        m_effects.emplace_back(close_idle_connections{});
+    const auto elapsed = millisecondsBetween(*m_shutdownBegan, now);
+    if (elapsed >= m_options.shutdownTimeout - finalResponseTime) {
+        endOpenRequests(now);
     }
     const bool idle = !hasOpenWork() && now - m_lastRequestFinishedAt >= lastResponseFlushTime;
     if ((elapsed >= minShutdownTime && idle) || elapsed >= m_options.shutdownTimeout) {
         m_stopped = true;
-        log(log_level::Info, "shutdown_complete", {{"open_requests", m_requests.size()}});
-        m_effects.emplace_back(stop_process{});
+        log(log_level::Info, "shutdown_complete",
+            {{"elapsed_ms", elapsed.count()}, {"open_requests", m_requests.size()}, {"relayed", m_relayed.size()}});
+        m_effects.emplace_back(stop_process{std::max(minCloseTime, m_options.shutdownTimeout - elapsed)});
     }
 }
 
--- a/src/gateway/testing/gateway_world.cc
+++ b/src/gateway/testing/gateway_world.cc
@@ -503,7 +503,7 @@
 {
 }
 
-void gateway_world::on(int /*daemon*/, const close_idle_connections & /*output*/)
+void gateway_world::on(int /*daemon*/, const close_after_responses & /*output*/)
 {
 }
 
--- a/src/gateway/testing/gateway_world.h
+++ b/src/gateway/testing/gateway_world.h
@@ -262,7 +262,7 @@
     void on(int daemon, const log_line &output);
     void on(int daemon, const increment_counter &output);
     void on(int daemon, const record_duration &output);
-    void on(int daemon, const close_idle_connections &output);
+    void on(int daemon, const close_after_responses &output);
     void on(int daemon, const stop_process &output);
 
     [[nodiscard]] std::optional<double> rateLimitOf(const std::string &endpoint) const;
--- a/src/gateway_daemon/gateway_daemon.cc
+++ b/src/gateway_daemon/gateway_daemon.cc
@@ -29,6 +29,8 @@
 // Longer than any caller keeps an idle connection open.
 constexpr seconds callerKeepAliveTimeout{60};
 constexpr seconds requestReadTimeout{10};
+// When the daemon stops, connections on which no request arrives are closed after this time.
+constexpr milliseconds idleCloseTime{250};
 
 net::listen_options listenOptionsFor(const std::string &address, const gateway_settings &settings)
 {
@@ -127,7 +129,7 @@
     void execute(const gateway::log_line &effect);
     void execute(const gateway::increment_counter &effect);
     void execute(const gateway::record_duration &effect);
-    void execute(const gateway::close_idle_connections &effect);
+    void execute(const gateway::close_after_responses &effect);
     void execute(const gateway::stop_process &effect);
 
     [[nodiscard]] static net::request_id requestOf(gateway::caller_id caller)
@@ -418,14 +420,18 @@
     logging::write(effect.level, effect.event, effect.fields);
 }
 
-void gateway_daemon::implementation::execute(const gateway::close_idle_connections & /*effect*/)
+void gateway_daemon::implementation::execute(const gateway::close_after_responses & /*effect*/)
 {
-    m_loop.closeAfterAnswers(true);
+    m_loop.closeAfterAnswers();
 }
 
-void gateway_daemon::implementation::execute(const gateway::stop_process & /*effect*/)
+void gateway_daemon::implementation::execute(const gateway::stop_process &effect)
 {
-    m_loop.stop();
+    m_loop.finishServers(idleCloseTime, [this] { m_loop.stop(); });
+    m_loop.after(effect.closeTime, [this] {
+        m_loop.closeConnections();
+        m_loop.stop();
+    });
 }
 
 } // namespace jackdawpick
--- a/src/gateway_daemon/gateway_daemon.h
+++ b/src/gateway_daemon/gateway_daemon.h
@@ -27,7 +27,7 @@
 
     // Throws error(SettingsInvalid) if a port cannot be opened.
     void start();
-    // Starts the graceful shutdown; the loop stops when it is complete.
+    // Starts the graceful shutdown; the loop stops when it is complete and the connections of callers are closed.
     void shutdown();
     // Applies the settings that may change at run time: the log level and the lifetime of the address list.
     void reload(const gateway_settings &settings);
--- a/src/net/internal/http_server.cc
+++ b/src/net/internal/http_server.cc
@@ -1,5 +1,6 @@
 #include "net/internal/http_server.h"
 
+#include "logging/logging.h"
 #include "net/internal/refusal_text.h"
 
 #include <boost/beast/http/status.hpp>
@@ -25,12 +26,28 @@
 
 } // namespace
 
+std::string_view http_session::nameOf(phase value)
+{
+    switch (value) {
+    case phase::Reading:
+        return "reading";
+    case phase::Answering:
+        return "answering";
+    case phase::Closing:
+        return "closing";
+    }
+    return "unknown";
+}
+
 http_session::http_session(http_server &server, transport &owner, connection_ptr link)
     : m_server(server)
     , m_transport(owner)
     , m_link(std::move(link))
     , m_readTimer(owner, [this] { onReadTimeout(); })
-    , m_writeTimer(owner, [this] { drop(); })
+    , m_writeTimer(owner, [this] {
+        logUnfinished("timeout");
+        drop();
+    })
 {
     m_link->setEvents(this);
 }
@@ -137,6 +154,7 @@
     releaseBody();
     const auto done = std::move(m_parser);
     m_keepAlive = done->keep_alive() && !m_server.m_closing;
+    m_headSent = false;
     m_chunked = done->version >= 11;
     m_headOnly = done->method == "HEAD";
     m_phase = phase::Answering;
@@ -172,6 +190,7 @@
     if (m_phase != phase::Answering) {
         return;
     }
+    m_headSent = true;
     m_link->send(fmt::format("{}Content-Length: {}\r\n\r\n{}", headText(head), body.size(),
                              m_headOnly ? std::string_view() : std::string_view(body)));
     finishAnswer();
@@ -179,6 +198,7 @@
 
 void http_session::beginStream(const http_head &head)
 {
+    m_headSent = true;
     if (head.contentLength.has_value()) {
         m_chunked = false;
         m_link->send(headText(head) + fmt::format("Content-Length: {}\r\n\r\n", *head.contentLength));
@@ -219,18 +239,55 @@
 
 void http_session::abort()
 {
+    logUnfinished("aborted");
     m_server.m_requests.sessions.erase(std::exchange(m_request, 0));
     drop();
 }
 
-void http_session::retire(bool idleToo)
+void http_session::closeAfterAnswer()
 {
-    m_keepAlive = false;
-    if (idleToo && m_phase == phase::Reading && !m_started) {
+    m_keepAlive = m_keepAlive && m_headSent;
+}
+
+bool http_session::isIdle() const
+{
+    return m_phase == phase::Reading && !m_parser && m_input.empty();
+}
+
+void http_session::closeIfIdle()
+{
+    // Bytes that lie in the socket are a request to be answered; closing on them would reset the connection.
+    if (!isIdle() || m_link->hasUnread()) {
+        return;
+    }
+    if (m_link->pending() > 0) {
+        startClosing(); // The last answer is still being written.
+    } else {
         drop();
     }
 }
 
+void http_session::closeNow()
+{
+    logUnfinished("stopped");
+    drop();
+}
+
+void http_session::logUnfinished(std::string_view reason) const
+{
+    const auto unparsed = m_input.size() + m_bodyBytes;
+    const bool holdsNothing = m_request == 0 && !m_parser && unparsed == 0 && m_link->pending() == 0;
+    if (!m_server.m_closing || holdsNothing) {
+        return;
+    }
+    logging::write(log_level::Warning, "connection_unfinished",
+                   {{"reason", reason},
+                    {"phase", nameOf(m_phase)},
+                    {"request_open", m_request != 0},
+                    {"request_bytes", unparsed},
+                    {"unsent_bytes", m_link->pending()}});
+}
+
 std::size_t http_session::buffered() const
 {
     return m_link->pending();
@@ -245,6 +302,10 @@
         return;
     }
     m_phase = phase::Reading;
+    if (m_input.empty() && m_server.m_listener == nullptr && !m_link->hasUnread()) {
+        startClosing(); // The head of this answer was sent before the server began to close.
+        return;
+    }
     if (m_input.empty()) {
         m_started = false;
         m_readTimer.start(m_server.m_options.keepAliveTimeout);
@@ -306,7 +367,7 @@
     m_writeTimer.stop();
     m_phase = phase::Closing;
     m_link->setEvents(nullptr);
-    m_server.m_sessions.erase(this);
+    m_server.remove(this);
     if (const auto request = std::exchange(m_request, 0); request != 0) {
         m_server.m_requests.sessions.erase(request);
         if (m_server.m_disconnected) {
@@ -330,7 +391,9 @@
     , m_handler(std::move(handler))
     , m_disconnected(std::move(disconnected))
     , m_drained(std::move(drained))
-    , m_port(owner.listen(m_options.address, m_options.port, [this](connection_ptr link) { accept(std::move(link)); }))
+    , m_listener(
+          &owner.listen(m_options.address, m_options.port, [this](connection_ptr link) { accept(std::move(link)); }))
+    , m_port(m_listener->port())
 {
 }
 
@@ -339,12 +402,46 @@
     return m_port;
 }
 
-void http_server::closeAfterAnswers(bool idleToo)
+std::vector<std::shared_ptr<http_session>> http_server::sessions() const
+{
+    std::vector<std::shared_ptr<http_session>> result;
+    std::ranges::transform(m_sessions, std::back_inserter(result), [](const auto &entry) { return entry.second; });
+    return result;
+}
+
+void http_server::closeAfterAnswers()
 {
     m_closing = true;
-    std::vector<std::shared_ptr<http_session>> sessions;
-    std::ranges::transform(m_sessions, std::back_inserter(sessions), [](const auto &entry) { return entry.second; });
-    std::ranges::for_each(sessions, [idleToo](const auto &session) { session->retire(idleToo); });
+    std::ranges::for_each(sessions(), &http_session::closeAfterAnswer);
+}
+
+void http_server::finish(std::function<void()> done)
+{
+    closeAfterAnswers();
+    m_done = std::move(done);
+    if (auto *waiting = std::exchange(m_listener, nullptr); waiting != nullptr) {
+        waiting->close();
+    }
+    if (m_sessions.empty()) {
+        m_transport.post(std::exchange(m_done, {}));
+    }
+}
+
+void http_server::closeIdleConnections()
+{
+    std::ranges::for_each(sessions(), &http_session::closeIfIdle);
+}
+
+void http_server::closeConnections()
+{
+    std::ranges::for_each(sessions(), &http_session::closeNow);
+}
+
+void http_server::remove(const http_session *session)
+{
+    if (m_sessions.erase(session) > 0 && m_sessions.empty() && m_done) {
+        m_transport.post(std::exchange(m_done, {}));
+    }
 }
 
 void http_server::accept(connection_ptr link)
--- a/src/net/internal/http_server.h
+++ b/src/net/internal/http_server.h
@@ -36,8 +36,12 @@
     void writeStream(std::string_view bytes);
     void endStream();
     void abort();
-    // Closes the connection now if it waits for a request, otherwise after the answer.
-    void retire(bool idleToo);
+    // The answer under way closes the connection, unless its head is sent already.
+    void closeAfterAnswer();
+    // Closes the connection if no byte of a request has arrived.
+    void closeIfIdle();
+    // Closes the connection now.
+    void closeNow();
     [[nodiscard]] std::size_t buffered() const;
 
 private:
@@ -47,6 +51,7 @@
         Closing, // The last answer is being written; further input is discarded.
     };
     using parser = message_parser<true>;
+    [[nodiscard]] static std::string_view nameOf(phase value);
 
     void onReceived(std::string_view bytes) override;
     void onWritten() override;
@@ -59,8 +64,11 @@
     void refuseParsed(const boost::beast::error_code &failure);
     std::string headText(const http_head &head) const;
     void finishAnswer();
+    [[nodiscard]] bool isIdle() const;
     void startClosing();
     void drop();
+    // Logs what the client has sent without an answer, or has not received, on a connection that a closing server ends.
+    void logUnfinished(std::string_view reason) const;
     void releaseBody();
 
     http_server &m_server;
@@ -73,6 +81,7 @@
     bool m_headerDone = false;
     bool m_started = false; // A byte of the current request has arrived, or it is the first one.
     bool m_keepAlive = true;
+    bool m_headSent = false; // Of the answer to the current request.
     bool m_chunked = true; // Answers in streams; HTTP/1.0 clients get a body that ends with the connection.
     bool m_headOnly = false;
     std::uint64_t m_request = 0;
@@ -87,11 +96,18 @@
                 std::function<void(http_request)> handler, std::function<void(request_id)> disconnected,
                 std::function<void(request_id)> drained);
     [[nodiscard]] std::uint16_t port() const;
-    void closeAfterAnswers(bool idleToo);
+    // From now on each answer whose head is not sent yet closes its connection.
+    void closeAfterAnswers();
+    // Accepts no more connections; calls `done`, not from within this call, when none is left.
+    void finish(std::function<void()> done);
+    void closeIdleConnections();
+    void closeConnections();
 
 private:
     friend class http_session;
     void accept(connection_ptr link);
+    void remove(const http_session *session);
+    [[nodiscard]] std::vector<std::shared_ptr<http_session>> sessions() const;
 
     transport &m_transport;
     open_requests &m_requests;
@@ -102,8 +118,10 @@
     std::function<void(request_id)> m_drained;
     std::unordered_map<const http_session *, std::shared_ptr<http_session>> m_sessions;
     std::size_t m_bodyBytes = 0; // Of all incomplete requests.
+    listener *m_listener; // Null once it is closed.
     std::uint16_t m_port = 0;
     bool m_closing = false;
+    std::function<void()> m_done; // Set while the server finishes.
 };
 
 } // namespace jackdawpick::net::internal
--- a/src/net/internal/tcp_streams.cc
+++ b/src/net/internal/tcp_streams.cc
@@ -83,7 +83,7 @@
 {
     auto shared = std::make_shared<const tcp_handlers>(std::move(handlers));
     const auto limit = options.maxConnections;
-    return m_transport.listen(options.address, options.port, [this, shared, limit](const connection_ptr &link) {
+    const auto accept = [this, shared, limit](const connection_ptr &link) {
         if (m_streams.size() >= limit) {
             link->close();
             return;
@@ -91,7 +91,8 @@
         const auto stream = add(shared);
         stream->start(link);
         static_cast<connection_events &>(*stream).onOpen();
-    });
+    };
+    return m_transport.listen(options.address, options.port, accept).port();
 }
 
 stream_id tcp_streams::connect(const std::string &address, tcp_handlers handlers)
--- a/src/net/internal/transport.cc
+++ b/src/net/internal/transport.cc
@@ -308,25 +308,41 @@
     }
 }
 
-listener::listener(int socket, std::function<void(int)> onAccept)
+listener::listener(int socket, std::uint16_t port, std::function<void(int)> onAccept)
     : m_socket(socket)
+    , m_port(port)
     , m_onAccept(std::move(onAccept))
 {
 }
 
-bool listener::onReadable()
+std::uint16_t listener::port() const
 {
-    constexpr int batch = 64; // Leaves the loop to other work during a flood of connections.
-    for (int i = 0; i < batch; ++i) {
-        const int socket = ::accept4(m_socket, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (socket < 0) {
-            break;
-        }
+    return m_port;
+}
+
+bool listener::acceptOne()
+{
+    const int socket = ::accept4(m_socket, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (socket >= 0) {
         m_onAccept(socket);
     }
+    return socket >= 0;
+}
+
+bool listener::onReadable()
+{
+    constexpr int batch = 64; // Leaves the loop to other work during a flood of connections.
+    for (int i = 0; i < batch && acceptOne(); ++i) { }
     return true;
 }
 
+void listener::close()
+{
+    // The kernel resets the connections that wait when the socket is closed.
+    for (int i = 0; i < backlog && acceptOne(); ++i) { }
+    lws_set_timeout(m_wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+}
+
 void listener::onDescriptorClosed()
 {
 }
@@ -441,18 +457,18 @@
     return link;
 }
 
-bool transport::adoptFile(int file, std::unique_ptr<descriptor> user)
+lws *transport::adoptFile(int file, std::unique_ptr<descriptor> user)
 {
-    if (adoptDescriptor(file, user.get()) == nullptr) {
-        return false;
+    auto *wsi = adoptDescriptor(file, user.get());
+    if (wsi != nullptr) {
+        auto *key = user.get();
+        m_files.emplace(key, std::move(user));
     }
-    auto *key = user.get();
-    m_files.emplace(key, std::move(user));
-    return true;
+    return wsi;
 }
 
-std::uint16_t transport::listen(const std::string &address, std::uint16_t port,
-                                std::function<void(connection_ptr)> onAccept)
+listener &transport::listen(const std::string &address, std::uint16_t port,
+                            std::function<void(connection_ptr)> onAccept)
 {
     const auto where = parseAddress(address, port);
     const auto fail = [&](std::string_view step) {
@@ -482,10 +498,13 @@
             onAccept(std::move(link));
         }
     };
-    if (!adoptFile(socket, std::make_unique<listener>(socket, std::move(accepted)))) {
+    auto created = std::make_unique<listener>(socket, bound.port(), std::move(accepted));
+    auto &result = *created;
+    result.m_wsi = adoptFile(socket, std::move(created));
+    if (result.m_wsi == nullptr) {
         throw error(result_code::InternalError, "libwebsockets refused the listening socket");
     }
-    return bound.port();
+    return result;
 }
 
 connection_ptr transport::connect(const std::string &address, connection_events *events)
@@ -528,13 +547,20 @@
     }
 }
 
-void transport::onSignals(std::function<void()> terminate, std::function<void()> reload)
+void transport::holdSignals()
 {
     const sigset_t signals = handledSignals();
     ::sigprocmask(SIG_BLOCK, &signals, nullptr);
+}
+
+void transport::onSignals(std::function<void()> terminate, std::function<void()> reload)
+{
+    holdSignals();
+    const sigset_t signals = handledSignals();
     m_signalsBlocked = true;
     const int file = ::signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
-    if (file < 0 || !adoptFile(file, std::make_unique<signal_source>(file, std::move(terminate), std::move(reload)))) {
+    if (file < 0
+        || adoptFile(file, std::make_unique<signal_source>(file, std::move(terminate), std::move(reload))) == nullptr) {
         throw error(result_code::InternalError, "cannot receive signals");
     }
 }
--- a/src/net/internal/transport.h
+++ b/src/net/internal/transport.h
@@ -123,17 +123,25 @@
 
 using connection_ptr = std::shared_ptr<connection>;
 
-// Accepts connections on one listening socket.
+// Accepts connections on one listening socket. Owned by the transport until its end or close().
 class listener final : public descriptor
 {
 public:
-    listener(int socket, std::function<void(int)> onAccept);
+    listener(int socket, std::uint16_t port, std::function<void(int)> onAccept);
+
+    [[nodiscard]] std::uint16_t port() const;
+    // Accepts the connections that wait, and no more after this turn of the loop, which destroys the listener.
+    void close();
 
 private:
+    friend class transport;
     bool onReadable() override;
     void onDescriptorClosed() override;
+    bool acceptOne();
 
     int m_socket;
+    std::uint16_t m_port;
+    lws *m_wsi = nullptr;
     std::function<void(int)> m_onAccept;
 };
 
@@ -145,12 +153,14 @@
     transport(const transport &) = delete;
     transport &operator=(const transport &) = delete;
 
-    // Returns the port. Throws error(SettingsInvalid) if the address cannot be bound.
-    std::uint16_t listen(const std::string &address, std::uint16_t port, std::function<void(connection_ptr)> onAccept);
+    // Throws error(SettingsInvalid) if the address cannot be bound.
+    listener &listen(const std::string &address, std::uint16_t port, std::function<void(connection_ptr)> onAccept);
     // Null if no attempt can be made; otherwise onOpen() or onClosed() follows.
     connection_ptr connect(const std::string &address, connection_events *events);
     // Calls `task` in the next turn of the loop.
     void post(std::function<void()> task);
+    // Signals that arrive from now on wait for onSignals().
+    static void holdSignals();
     // SIGTERM and SIGINT go to `terminate`, SIGHUP goes to `reload`.
     void onSignals(std::function<void()> terminate, std::function<void()> reload);
     void run();
@@ -164,7 +174,7 @@
     connection_ptr adopt(int socket, bool open);
     // Null if libwebsockets refuses the descriptor, which is closed then.
     lws *adoptDescriptor(int file, descriptor *user);
-    bool adoptFile(int file, std::unique_ptr<descriptor> user);
+    lws *adoptFile(int file, std::unique_ptr<descriptor> user);
     void runPosted();
     // Keeps the exception for run(), since it must not pass through libwebsockets.
     template<typename F> void guarded(F &&task);
--- a/src/net/net.cc
+++ b/src/net/net.cc
@@ -5,6 +5,7 @@
 #include "net/internal/tcp_streams.h"
 #include "net/internal/transport.h"
 
+#include <algorithm>
 #include <list>
 
 namespace jackdawpick::net
@@ -33,6 +34,11 @@
     }
 };
 
+void holdSignals()
+{
+    internal::transport::holdSignals();
+}
+
 loop::loop()
     : m_impl(std::make_unique<implementation>())
 {
@@ -84,11 +90,28 @@
     }
 }
 
-void loop::closeAfterAnswers(bool idleToo)
+void loop::closeAfterAnswers()
 {
-    for (const auto &server : m_impl->servers) {
-        server->closeAfterAnswers(idleToo);
-    }
+    std::ranges::for_each(m_impl->servers, [](const auto &server) { server->closeAfterAnswers(); });
+}
+
+void loop::finishServers(std::chrono::milliseconds idleTime, std::function<void()> done)
+{
+    const auto open = std::make_shared<std::size_t>(m_impl->servers.size());
+    const auto finished = [open, done = std::move(done)] {
+        if (--*open == 0) {
+            done();
+        }
+    };
+    std::ranges::for_each(m_impl->servers, [&finished](const auto &server) { server->finish(finished); });
+    after(idleTime, [this] {
+        std::ranges::for_each(m_impl->servers, [](const auto &server) { server->closeIdleConnections(); });
+    });
+}
+
+void loop::closeConnections()
+{
+    std::ranges::for_each(m_impl->servers, [](const auto &server) { server->closeConnections(); });
 }
 
 std::size_t loop::bufferedBytes(request_id id) const
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -132,6 +132,10 @@
     std::uint64_t clientRequests = 0;
 };
 
+// SIGTERM, SIGINT and SIGHUP that arrive from now on wait for loop::onSignals(). To be called first in main(): a signal
+// in the first milliseconds of a process would end it.
+void holdSignals();
+
 class loop
 {
 public:
@@ -154,9 +158,14 @@
     void endStream(request_id id);
     // Closes the connection of the request without an answer or in the middle of it. `disconnected` is not called.
     void abort(request_id id);
-    // From now on each answer closes its connection, and so does the loop with connections that wait for a request
-    // when `idleToo` is set.
-    void closeAfterAnswers(bool idleToo);
+    // From now on each answer whose head is not sent yet closes its connection.
+    void closeAfterAnswers();
+    // Ends all HTTP servers without losing a request: accepts the connections that wait and no more, goes on answering
+    // requests, and closes each connection after its answer or, after `idleTime`, while it waits for a request. Calls
+    // `done` when none is left.
+    void finishServers(std::chrono::milliseconds idleTime, std::function<void()> done);
+    // Closes all HTTP connections now; those that hold a request or unsent bytes are logged if their server finishes.
+    void closeConnections();
     // Bytes accepted by writeStream() and not yet written to the socket.
     [[nodiscard]] std::size_t bufferedBytes(request_id id) const;
 
--- /dev/null
+++ b/standins/emulator/daemon_process.cc
@@ -0,0 +1,101 @@
+#include "emulator/daemon_process.h"
+
+#include "net/net.h"
+
+#include <csignal>
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <fstream>
+#include <stdexcept>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+#include <utility>
+
+namespace jackdawpick::standins
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds pollInterval{5};
+constexpr mode_t logFileMode = 0644;
+constexpr int exitNotStarted = 127;
+
+std::uint16_t freePort()
+{
+    net::loop loop;
+    return loop.listenHttp({}, [](const net::http_request &) {});
+}
+
+std::string loopback(std::uint16_t port)
+{
+    return fmt::format("127.0.0.1:{}", port);
+}
+
+} // namespace
+
+daemon_process::daemon_process(std::string program, const std::string &folder, const std::string &name,
+                               const std::string &storeAddress)
+    : m_program(std::move(program))
+    , m_settingsFile(folder + "/" + name + ".toml")
+    , m_logFile(folder + "/" + name + ".log")
+    , m_callersPort(freePort())
+{
+    std::ofstream(m_settingsFile) << fmt::format(
+        "[daemon]\nname = \"{}\"\nzone = \"z\"\n"
+        "[listen]\ncallers = \"{}\"\ndirectory = \"{}\"\nreadiness = \"{}\"\npeers = \"{}\"\nmetrics = \"{}\"\n"
+        "[store]\naddress = \"{}\"\n",
+        name, loopback(m_callersPort), loopback(freePort()), loopback(freePort()), loopback(freePort()),
+        loopback(freePort()), storeAddress);
+}
+
+daemon_process::~daemon_process()
+{
+    if (m_process != 0) {
+        signal(SIGKILL);
+        ::waitpid(m_process, nullptr, 0);
+    }
+}
+
+void daemon_process::start()
+{
+    const int log = ::open(m_logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, logFileMode);
+    m_process = ::fork();
+    if (m_process < 0) {
+        throw std::runtime_error("cannot start a process");
+    }
+    if (m_process == 0) {
+        ::dup2(log, STDOUT_FILENO);
+        ::dup2(log, STDERR_FILENO);
+        ::execl(m_program.c_str(), m_program.c_str(), "--config", m_settingsFile.c_str(), nullptr);
+        ::_exit(exitNotStarted);
+    }
+    ::close(log);
+}
+
+void daemon_process::signal(int number) const
+{
+    ::kill(m_process, number);
+}
+
+std::optional<int> daemon_process::waitForEnd(std::chrono::milliseconds longest)
+{
+    const auto last = std::chrono::steady_clock::now() + longest;
+    int status = 0;
+    while (::waitpid(m_process, &status, WNOHANG) == 0) {
+        if (std::chrono::steady_clock::now() >= last) {
+            return std::nullopt;
+        }
+        std::this_thread::sleep_for(pollInterval);
+    }
+    m_process = 0;
+    return status;
+}
+
+std::uint16_t daemon_process::callersPort() const
+{
+    return m_callersPort;
+}
+
+} // namespace jackdawpick::standins
--- /dev/null
+++ b/standins/emulator/daemon_process.h
@@ -0,0 +1,44 @@
+#pragma once
+
+// A daemon as a process of its own, on loopback addresses, for tests that stop and restart it.
+//
+//   daemon_process daemon("jackdawpickd", "/tmp/x", "daemon-0", storeAddress);
+//   daemon.start();
+//   daemon.signal(SIGTERM);
+//   daemon.waitForEnd(8s);
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <sys/types.h>
+
+namespace jackdawpick::standins
+{
+
+class daemon_process
+{
+public:
+    // Writes the settings into the folder; the output of the process goes there too.
+    daemon_process(std::string program, const std::string &folder, const std::string &name,
+                   const std::string &storeAddress);
+    // Kills the process if it runs.
+    ~daemon_process();
+    daemon_process(const daemon_process &) = delete;
+    daemon_process &operator=(const daemon_process &) = delete;
+
+    void start();
+    void signal(int number) const;
+    // Returns the exit status as of waitpid(), or nothing if the process still runs after this time.
+    std::optional<int> waitForEnd(std::chrono::milliseconds longest);
+    [[nodiscard]] std::uint16_t callersPort() const;
+
+private:
+    std::string m_program;
+    std::string m_settingsFile;
+    std::string m_logFile;
+    std::uint16_t m_callersPort = 0;
+    pid_t m_process = 0; // 0 if none runs.
+};
+
+} // namespace jackdawpick::standins
