Answers go on when the buffers of the kernel were full once

What callers saw: an answer that did not fit into the buffers of the kernel stopped in its middle, until its write time-out closed the connection, unless another piece of it was sent. Requests to endpoints stopped in the same way.

Cause: libwebsockets 4.1.6 ends the wait for a writeable socket after the callback for it. A wait that the callback itself asked for was lost.

Evidence: closing_server_test.SlowReaderGetsTheWholeAnswer, written for the shutdown, got 8,241,750 of 16,777,216 bytes in each run, also with 20 s of time and also without a shutdown. A trace of system calls shows the socket polled for input only from then on.

Change: what is left to write after a callback is asked for in the next turn of the loop.

Ruled out: the shutdown itself (the same stop without it), and the time-out of unacknowledged bytes (nothing was reset).

--- a/src/net/closing_server_test.cc
+++ b/src/net/closing_server_test.cc
@@ -107,6 +107,39 @@
     EXPECT_TRUE(client.ended());
 }
 
+// Guards against an answer that stops for good when the buffers of the kernel are full once: the rest was not written
+// when its client read on.
+TEST_F(closing_server_test, AnswerLargerThanTheBuffersArrives)
+{
+    raw_connection client(port);
+    client.send(requestText("large"));
+    std::string received;
+    for (int i = 0; i < 20000 && received.size() < largeBytes; ++i) {
+        runFor(1ms);
+        received += client.receive();
+    }
+    EXPECT_GE(received.size(), largeBytes);
+}
+
+// Guards against an answer that is dropped because its connection already waits for the next request: its bytes were
+// still queued when idle connections were closed.
+TEST_F(closing_server_test, SlowReaderGetsTheWholeAnswer)
+{
+    raw_connection client(port);
+    client.send(requestText("large"));
+    runFor(50ms); // The answer does not fit into the buffers of the kernel.
+    finish();
+    runFor(idleTime + 50ms);
+    EXPECT_EQ(ends, 0);
+    std::string received;
+    for (int i = 0; i < 20000 && ends == 0; ++i) {
+        received += client.receive();
+        runFor(1ms);
+    }
+    received += client.receive();
+    EXPECT_GE(received.size(), largeBytes);
+}
+
 // Guards against a request that lies in the socket, or in the queue of the listener, when the server ends.
 TEST_F(closing_server_test, RequestsThatWaitAreAnswered)
 {
--- a/src/net/internal/transport.cc
+++ b/src/net/internal/transport.cc
@@ -267,17 +267,40 @@
     if (!checkOpened() || m_closed || !writeSome()) {
         return false;
     }
-    if (m_pending > 0) {
-        lws_callback_on_writable(wsi);
-    } else if (m_finish) {
-        ::shutdown(m_socket, SHUT_WR);
-    }
+    endDirectionIfDue();
     if (m_events != nullptr) {
         m_events->onWritten();
     }
+    if (hasWork()) {
+        awaitWriteable(wsi);
+    }
     return !m_closed;
 }
 
+bool connection::hasWork() const
+{
+    return !m_closed && (m_pending > 0 || (m_finish && !m_directionEnded));
+}
+
+void connection::endDirectionIfDue()
+{
+    if (m_pending == 0 && m_finish && !std::exchange(m_directionEnded, true)) {
+        ::shutdown(m_socket, SHUT_WR);
+    }
+}
+
+// Asks for the next writeable callback in the next turn of the loop: libwebsockets ends the wait for it after this one,
+// so that what was asked for during a callback is lost.
+void connection::awaitWriteable(lws *wsi)
+{
+    auto *owner = static_cast<transport *>(lws_context_user(lws_get_context(wsi)));
+    owner->post([weak = weak_from_this()] {
+        if (const auto self = weak.lock(); self != nullptr && self->hasWork()) {
+            lws_callback_on_writable(self->m_wsi);
+        }
+    });
+}
+
 bool connection::writeSome()
 {
     while (!m_queue.empty()) {
--- a/src/net/internal/transport.h
+++ b/src/net/internal/transport.h
@@ -106,6 +106,9 @@
     void onDescriptorClosed() override;
     bool checkOpened();
     bool writeSome();
+    [[nodiscard]] bool hasWork() const; // For a writeable callback.
+    void endDirectionIfDue();
+    void awaitWriteable(lws *wsi);
 
     int m_socket;
     lws *m_wsi = nullptr;
@@ -113,6 +116,7 @@
     bool m_open;
     bool m_closed = false;
     bool m_finish = false;
+    bool m_directionEnded = false; // The own one.
     bool m_paused = false;
     bool m_ended = false;
     std::deque<std::string> m_queue;
