--- a/src/net/internal/transport.cc
+++ b/src/net/internal/transport.cc
@@ -523,10 +523,11 @@
     };
     auto created = std::make_unique<listener>(socket, bound.port(), std::move(accepted));
     auto &result = *created;
-    result.m_wsi = adoptFile(socket, std::move(created));
-    if (result.m_wsi == nullptr) {
+    auto *wsi = adoptFile(socket, std::move(created));
+    if (wsi == nullptr) {
         throw error(result_code::InternalError, "libwebsockets refused the listening socket");
     }
+    result.m_wsi = wsi;
     return result;
 }
 
--- a/src/net/internal/transport.h
+++ b/src/net/internal/transport.h
@@ -178,6 +178,7 @@
     connection_ptr adopt(int socket, bool open);
     // Null if libwebsockets refuses the descriptor, which is closed then.
     lws *adoptDescriptor(int file, descriptor *user);
+    // As adoptDescriptor(); on failure `user` is destroyed.
     lws *adoptFile(int file, std::unique_ptr<descriptor> user);
     void runPosted();
     // Keeps the exception for run(), since it must not pass through libwebsockets.
