planned_stops_test: each process has a loopback address of its own

The ids of requests and the ports of daemons that restart were shared: a port that is free for a moment was given to another process. A violation of a daemon now tells its last lines.

--- a/standins/emulator/daemon_process.cc
+++ b/standins/emulator/daemon_process.cc
@@ -2,10 +2,12 @@
 
 #include "net/net.h"
 
+#include <algorithm>
 #include <csignal>
 #include <fcntl.h>
 #include <fmt/format.h>
 #include <fstream>
+#include <iterator>
 #include <stdexcept>
 #include <sys/wait.h>
 #include <thread>
@@ -25,16 +27,25 @@
 std::uint16_t freePort()
 {
     net::loop loop;
-    return loop.listenHttp({}, [](const net::http_request &) {});
+    return loop.listenHttp({.address = loopbackAddress()}, [](const net::http_request &) {});
 }
 
 std::string loopback(std::uint16_t port)
 {
-    return fmt::format("127.0.0.1:{}", port);
+    return fmt::format("{}:{}", loopbackAddress(), port);
 }
 
 } // namespace
 
+std::string loopbackAddress()
+{
+    constexpr pid_t perByte = 256;
+    constexpr pid_t networks = 120; // 127.1 to 127.120
+    const auto process = ::getpid();
+    return fmt::format("127.{}.{}.{}", 1 + process / perByte / perByte % networks, process / perByte % perByte,
+                       process % perByte);
+}
+
 daemon_process::daemon_process(std::string program, const std::string &folder, const std::string &name,
                                const std::string &storeAddress)
     : m_program(std::move(program))
@@ -81,6 +92,9 @@
 
 std::optional<int> daemon_process::waitForEnd(std::chrono::milliseconds longest)
 {
+    if (m_process == 0) {
+        return std::nullopt;
+    }
     const auto last = std::chrono::steady_clock::now() + longest;
     int status = 0;
     while (::waitpid(m_process, &status, WNOHANG) == 0) {
@@ -93,6 +107,14 @@
     return status;
 }
 
+std::string daemon_process::lastOutput() const
+{
+    constexpr std::size_t keptBytes = 1500;
+    std::ifstream input(m_logFile);
+    const std::string text{std::istreambuf_iterator<char>(input), {}};
+    return text.substr(text.size() - std::min(text.size(), keptBytes));
+}
+
 std::uint16_t daemon_process::callersPort() const
 {
     return m_callersPort;
--- a/standins/emulator/daemon_process.h
+++ b/standins/emulator/daemon_process.h
@@ -16,6 +16,10 @@
 namespace jackdawpick::standins
 {
 
+// The loopback address of this process and its daemons: a port that is free for a moment, while a daemon restarts, must
+// not go to a test that runs at the same time.
+[[nodiscard]] std::string loopbackAddress();
+
 class daemon_process
 {
 public:
@@ -32,6 +36,8 @@
     // Returns the exit status as of waitpid(), or nothing if the process still runs after this time.
     std::optional<int> waitForEnd(std::chrono::milliseconds longest);
     [[nodiscard]] std::uint16_t callersPort() const;
+    // The last lines that the process has written.
+    [[nodiscard]] std::string lastOutput() const;
 
 private:
     std::string m_program;
--- a/standins/emulator/planned_stops.cc
+++ b/standins/emulator/planned_stops.cc
@@ -155,7 +155,8 @@
         const int clients = busy ? mostClients : pick(6, 30);
         for (int i = 0; i < clients; ++i) {
             m_clients.push_back(std::make_unique<stop_client>(
-                stop_client_options{.ports = ports,
+                stop_client_options{.address = loopbackAddress(),
+                                    .ports = ports,
                                     .number = i,
                                     .seed = static_cast<unsigned>(m_random()),
                                     .sendsTurns = pick(0, 3) == 0,
@@ -190,8 +191,9 @@
                 const std::scoped_lock lock(guard);
                 ++m_report.stops;
                 if (status != 0) {
-                    m_report.violations.push_back(
-                        fmt::format("daemon {} {}", i, status.has_value() ? "failed" : "did not end in time"));
+                    m_report.violations.push_back(fmt::format("daemon {} {}: {}", i,
+                                                              status.has_value() ? "failed" : "did not end in time",
+                                                              daemon.lastOutput()));
                 }
                 if (status.has_value()) {
                     daemon.start();
--- a/standins/emulator/stop_client.cc
+++ b/standins/emulator/stop_client.cc
@@ -118,7 +118,7 @@
     sockaddr_in where{};
     where.sin_family = AF_INET;
     where.sin_port = htons(m_port);
-    where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ::inet_pton(AF_INET, m_options.address.c_str(), &where.sin_addr);
     m_reused = false;
     if (::connect(m_socket, reinterpret_cast<const sockaddr *>(&where), sizeof(where)) != 0) {
         disconnect();
--- a/standins/emulator/stop_client.h
+++ b/standins/emulator/stop_client.h
@@ -19,6 +19,7 @@
 
 struct stop_client_options
 {
+    std::string address; // Of all daemons, an IP number.
     std::vector<std::uint16_t> ports; // Of the daemons.
     int number = 0; // Part of the ids of its requests.
     unsigned seed = 1;
