The listener has a file of its own

Nothing else changes; nine tests over sockets pass, among them net_test, closing_server_test, planned_stops_test and emulator_test.

--- a/src/net/internal/transport.cc
+++ b/src/net/internal/transport.cc
@@ -26,7 +26,6 @@
 constexpr std::size_t receiveChunk = 32768;
 // Bytes taken from one connection in one turn of the loop, so that a fast sender leaves time to the others.
 constexpr std::size_t maxReceivedPerTurn = 1U << 20U;
-constexpr int backlog = 1024;
 
 // Something between the two ends can lose track of a connection, which is then silent for good. Data without
 // acknowledgement and probes of idle connections show it. Servers and other daemons are near; callers may be slow.
@@ -331,45 +330,6 @@
     }
 }
 
-listener::listener(int socket, std::uint16_t port, std::function<void(int)> onAccept)
-    : m_socket(socket)
-    , m_port(port)
-    , m_onAccept(std::move(onAccept))
-{
-}
-
-std::uint16_t listener::port() const
-{
-    return m_port;
-}
-
-bool listener::acceptOne()
-{
-    const int socket = ::accept4(m_socket, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (socket >= 0) {
-        m_onAccept(socket);
-    }
-    return socket >= 0;
-}
-
-bool listener::onReadable()
-{
-    constexpr int batch = 64; // Leaves the loop to other work during a flood of connections.
-    for (int i = 0; i < batch && acceptOne(); ++i) { }
-    return true;
-}
-
-void listener::close()
-{
-    // The kernel resets the connections that wait when the socket is closed.
-    for (int i = 0; i < backlog && acceptOne(); ++i) { }
-    lws_set_timeout(m_wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
-}
-
-void listener::onDescriptorClosed()
-{
-}
-
 transport::transport()
 {
     lws_set_log_level(LLL_ERR, &logLine);
@@ -509,7 +469,7 @@
     const int on = 1;
     ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     socket_address bound;
-    if (::bind(socket, where->get(), where->size) != 0 || ::listen(socket, backlog) != 0
+    if (::bind(socket, where->get(), where->size) != 0 || ::listen(socket, listener::backlog) != 0
         || ::getsockname(socket, bound.get(), &bound.size) != 0) {
         const int reason = errno;
         ::close(socket);
--- a/src/net/internal/transport.h
+++ b/src/net/internal/transport.h
@@ -131,6 +131,8 @@
 class listener final : public descriptor
 {
 public:
+    static constexpr int backlog = 1024; // Connections that may wait to be accepted.
+
     listener(int socket, std::uint16_t port, std::function<void(int)> onAccept);
 
     [[nodiscard]] std::uint16_t port() const;
