--- a/src/gateway/internal/request_context.h
+++ b/src/gateway/internal/request_context.h
@@ -110,7 +110,7 @@
     std::string previousRecord; // Id of the last record of `chain`.
     bool inputWritten = false; // `chain` holds the input of the turn after the history.
     std::optional<segmented_write> segmentedWrite; // Set while segments are written.
-    std::optional<time_point> segmentsDue; // When segments are begun or tried again while the endpoint works.
+    std::optional<time_point> segmentsDue; // When segments are begun, tried again or abandoned.
     std::size_t segmentCount = 0;
     time_point turnWriteBegan{};
     time_point turnWriteDeadline{};
--- a/src/testing/raw_connection.cc
+++ b/src/testing/raw_connection.cc
@@ -53,15 +53,9 @@
             break;
         } else {
             m_ended = true;
-            m_reset = count < 0;
         }
     }
     return m_ended;
 }
 
-bool raw_connection::reset() const
-{
-    return m_reset;
-}
-
 } // namespace jackdawpick::testing
--- a/src/testing/raw_connection.h
+++ b/src/testing/raw_connection.h
@@ -28,14 +28,12 @@
     std::string receive();
     // The peer has closed the connection, as far as receive() has read; tries to read on.
     [[nodiscard]] bool ended();
-    [[nodiscard]] bool reset() const; // The connection ended with an error.
 
 private:
     std::string m_unread;
     int m_socket;
     bool m_connected = false;
     bool m_ended = false;
-    bool m_reset = false;
 };
 
 } // namespace jackdawpick::testing
