--- a/src/gateway/testing/gateway_world.h
+++ b/src/gateway/testing/gateway_world.h
@@ -62,13 +62,20 @@
     Silent, // They are not closed, and nothing answers.
     EndBetweenEvents, // A response without a length has begun; the connection is closed in order after an event.
     EndInsideEvent, // As before, in the middle of an event.
+    WholeError, // A whole response with status 500 has been sent.
+    WholeSuccess, // A whole response with status 200 has been sent.
+    UnsignedHead, // A head that no endpoint has signed has been sent.
+    UnmarkedRefusal, // A head with status 503 has been sent, which does not state that the request was not run.
 };
 
+inline constexpr std::size_t crashSignCount = static_cast<std::size_t>(crash_sign::UnmarkedRefusal) + 1;
+
 // A request that crashes the endpoints that run it. The endpoint is back after `downTime`.
 struct crashing_request
 {
     std::string body;
     std::string attemptPrefix; // Only attempts whose ids begin so crash them.
+    std::chrono::milliseconds delay{1}; // From the begin of the run to the crash.
     std::chrono::milliseconds downTime{2000};
     crash_sign sign = crash_sign::Lost;
     bool keepsId = false; // The endpoint is back under the id that it had.
@@ -266,6 +273,9 @@
     void on(int daemon, const stop_process &output);
 
     [[nodiscard]] std::optional<double> rateLimitOf(const std::string &endpoint) const;
+    // Sends what an endpoint sends of the response before the request crashes it.
+    void beginCrashingResponse(int daemon, const start_dispatch &output,
+                               const std::function<void(std::chrono::milliseconds, const event &)> &respond);
     void runAtEndpoint(int daemon, int incarnation, const start_dispatch &output);
     void crashEndpoint(const std::string &id);
     void restartEndpoint(const std::string &id);
--- a/src/gateway/testing/world_endpoints.cc
+++ b/src/gateway/testing/world_endpoints.cc
@@ -76,21 +76,8 @@
     m_dispatchEndpoints[{daemon, output.dispatch}] = id;
     if (crashing.has_value() && crashing->body == output.request.body
         && output.request.attempt.starts_with(crashing->attemptPrefix)) {
-        const bool endsInOrder =
-            crashing->sign == crash_sign::EndBetweenEvents || crashing->sign == crash_sign::EndInsideEvent;
-        if (endsInOrder) {
-            m_endingWithConnection.emplace(daemon, output.dispatch);
-            respond(0ms,
-                    response_head{output.dispatch,
-                                  {.status = 200,
-                                   .hasEndpointSignature = true,
-                                   .leaving = leaving,
-                                   .headers = {{"content-type", "text/event-stream"}},
-                                   .endsWithConnection = true}});
-            const std::string rest = crashing->sign == crash_sign::EndInsideEvent ? "id: 2\ndata: " : "";
-            respond(0ms, response_chunk{output.dispatch, "id: 1\ndata: 1\n\n" + rest});
-        }
-        schedule(1ms, [=, this] { crashEndpoint(id); });
+        beginCrashingResponse(daemon, output, respond);
+        schedule(crashing->delay, [=, this] { crashEndpoint(id); });
         return;
     }
     if (const auto endless = endlessResponses.find(output.request.endpoint); endless != endlessResponses.end()) {
@@ -148,6 +135,48 @@
     end(gap * pieceCount + 1ms, isLost ? dispatch_outcome::Lost : dispatch_outcome::Complete);
 }
 
+void gateway_world::beginCrashingResponse(int daemon, const start_dispatch &output,
+                                          const std::function<void(milliseconds, const event &)> &respond)
+{
+    const bool isInsideEvent = crashing->sign == crash_sign::EndInsideEvent;
+    const bool isWhole = crashing->sign == crash_sign::WholeError || crashing->sign == crash_sign::WholeSuccess;
+    const bool isEventStream = isInsideEvent || crashing->sign == crash_sign::EndBetweenEvents;
+    const auto sendHead = [&](std::uint16_t status) {
+        respond(0ms,
+                response_head{output.dispatch,
+                              {.status = status,
+                               .hasEndpointSignature = crashing->sign != crash_sign::UnsignedHead,
+                               .headers = {{"content-type", isEventStream ? "text/event-stream" : "text/plain"}},
+                               .contentLength = isWhole ? std::optional<std::uint64_t>(0) : std::nullopt,
+                               .endsWithConnection = isEventStream}});
+    };
+    switch (crashing->sign) {
+    case crash_sign::Lost:
+    case crash_sign::Silent:
+        return;
+    case crash_sign::EndBetweenEvents:
+    case crash_sign::EndInsideEvent:
+        m_endingWithConnection.emplace(daemon, output.dispatch);
+        sendHead(200);
+        respond(0ms, response_chunk{output.dispatch, "id: 1\ndata: 1\n\n"});
+        if (isInsideEvent) {
+            respond(0ms, response_chunk{output.dispatch, "id: 2\ndata: "});
+        }
+        return;
+    case crash_sign::UnsignedHead:
+        sendHead(200);
+        return;
+    case crash_sign::UnmarkedRefusal:
+        sendHead(503);
+        return;
+    case crash_sign::WholeError:
+    case crash_sign::WholeSuccess:
+        sendHead(crashing->sign == crash_sign::WholeError ? 500 : 200);
+        respond(0ms, dispatch_finished{output.dispatch, dispatch_outcome::Complete});
+        return;
+    }
+}
+
 int gateway_world::crashCountOf(const std::string &endpoint) const
 {
     const auto found = m_crashCounts.find(endpoint);
