planned_stops_test: ports that no outgoing connection can have

Cause: a port was looked for by listening for a moment, and then written into the settings; until the daemon listened, the kernel could give it to the next search or to an outgoing connection. The address belongs to the test process alone, so the ports are now counted up below the kernel's range.

--- a/standins/emulator/daemon_process.cc
+++ b/standins/emulator/daemon_process.cc
@@ -1,7 +1,5 @@
 #include "emulator/daemon_process.h"
 
-#include "net/net.h"
-
 #include <algorithm>
 #include <csignal>
 #include <fcntl.h>
@@ -24,10 +22,13 @@
 constexpr mode_t logFileMode = 0644;
 constexpr int exitNotStarted = 127;
 
+// Below the range from which the kernel takes the ports of outgoing connections. The address belongs to this process.
+constexpr std::uint16_t firstPort = 20000;
+
 std::uint16_t freePort()
 {
-    net::loop loop;
-    return loop.listenHttp({.address = loopbackAddress()}, [](const net::http_request &) {});
+    static std::uint16_t next = firstPort;
+    return next++;
 }
 
 std::string loopback(std::uint16_t port)
