--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -4,9 +4,9 @@
 // budgets.cc (reservations), settlements.cc (what they were used for), turns.cc (histories), turn_writes.cc (their
 // records), segment_writes.cc (of long ones), turn_trimming.cc (deletion of these), dispatching.cc (endpoints),
 // endpoint_limits.cc (their rate limits), endpoint_leaving.cc (those that leave), relaying.cc (paths to them, dispatch
-// through peers), crash_reports.cc (requests that crash endpoints), platform_state.cc (store, watches, reports),
-// daemon_records.cc (the records of the daemons), peer_links.cc (the links to them), shutdown.cc (readiness and
-// shutdown).
+// through peers), crash_reports.cc (requests that crash endpoints), crash_records.cc (their records), platform_state.cc
+// (store, watches, reports), daemon_records.cc (the records of the daemons), peer_links.cc (the links to them),
+// shutdown.cc (readiness and shutdown).
 
 #include "admission/admission.h"
 #include "gateway/gateway.h"
@@ -385,6 +385,8 @@
     void applyRunReports(const std::vector<crashes::run_report> &reports, const std::string &source, time_point now);
     void logBlockChanges(std::string_view source);
     void tickCrashes(time_point now);
+
+    // crash_records.cc
     // An empty value deletes the record.
     void writeCrashRecord(std::uint64_t content, std::string value, time_point now);
     // Writes all that is known of the request.
