First reports go to the daemons that write the record of their content

What was seen: CountAfterAWholeSuccess with 80 daemons, 7 runs later than the window, bound 3, once the records had moved to a file of their own. Cause: that change ranked the two collectors by the content alone. The record of a content is written by the daemons that rank first for its key, each next one 0.5 s later, so two other daemons knew of the failures and wrote nothing for many seconds. Both use one key again. Evidence: the case fails before this commit and passes with it (sanitizers, 9 and 80 daemons).

--- a/src/gateway/crash_records.cc
+++ b/src/gateway/crash_records.cc
@@ -1,11 +1,11 @@
 // Records in the store of requests that crash endpoints, for daemons that no other one can tell and for the time after
 // all have ended.
 
+#include "gateway/internal/crash_record_key.h"
 #include "gateway/internal/implementation.h"
 
 #include <algorithm>
 #include <charconv>
-#include <fmt/format.h>
 
 namespace jackdawpick::gateway
 {
@@ -13,17 +13,12 @@
 namespace
 {
 
+using internal::crashRecordKey;
+using internal::crashRecordPrefix;
 using std::chrono::milliseconds;
 
-// Keys of these records in the partition that also holds the addresses of the daemons, which all of them watch.
-constexpr std::string_view crashRecordPrefix = "crashing/";
 constexpr milliseconds crashWriteCheckInterval{100};
 
-std::string crashRecordKey(std::uint64_t content)
-{
-    return fmt::format("{}{:016x}", crashRecordPrefix, content);
-}
-
 // The content that the key names; nothing if it is no key of such a record.
 std::optional<std::uint64_t> contentOfKey(std::string_view key)
 {
--- a/src/gateway/crash_reports.cc
+++ b/src/gateway/crash_reports.cc
@@ -1,10 +1,10 @@
 // Requests that crash endpoints: what the ends of runs and the fates of endpoints show, and what daemons tell each
 // other.
 
+#include "gateway/internal/crash_record_key.h"
 #include "gateway/internal/implementation.h"
 
 #include <algorithm>
-#include <fmt/format.h>
 
 namespace jackdawpick::gateway
 {
@@ -198,7 +198,7 @@
 {
     constexpr std::size_t collectors = 2;
     for (auto &report : m_crashes.takeFirstReports()) {
-        auto names = rankedDaemons(fmt::format("{:016x}", report.request.content), now);
+        auto names = rankedDaemons(internal::crashRecordKey(report.request.content), now);
         names.resize(std::min(names.size(), collectors));
         const peers::run_reports message{.reports = {std::move(report)}, .unproven = {}, .backups = {}};
         for (const auto &name : names) {
