Runs of notices, and cases that differ by a sign alone, are put together in one place

No behaviour changes. onUnprovenReport() and onBackup() built the same run from a notice; onSurvived() and settleRuns() repeated what a success is; empty senders were spelled out for nothing.

--- a/src/crashes/run_fates.cc
+++ b/src/crashes/run_fates.cc
@@ -13,11 +13,27 @@
 using internal::run_end;
 using internal::run_source;
 
+namespace
+{
+
+bool isSuccess(const open_run &run)
+{
+    return run.end == run_end::Answered || run.end == run_end::UnprovenEnd;
+}
+
+// The run of which another daemon has told, as far as the notice says.
+open_run runOf(const run_notice &notice, run_source source, time_point now)
+{
+    const auto at = now - notice.age;
+    return {.request = notice.request, .endpoint = notice.endpoint, .sentAt = at, .endedAt = at, .source = source};
+}
+
+} // namespace
+
 void crash_tracker::onSent(const request_identity &request, const endpoint_incarnation &endpoint, time_point now)
 {
     const bool hasFailed = hasFailures(request.content);
-    m_runs.add(
-        {.request = request, .endpoint = endpoint, .sentAt = now, .endedAt = now, .sender = {}, .backedUp = hasFailed});
+    m_runs.add({.request = request, .endpoint = endpoint, .sentAt = now, .endedAt = now, .backedUp = hasFailed});
     if (hasFailed) {
         m_suspectRuns.push_back({.notice = {.request = request, .endpoint = endpoint}, .since = now});
     }
@@ -47,7 +63,7 @@
         run->end = end;
         run->endedAt = now;
     } else {
-        m_runs.add({.request = request, .endpoint = endpoint, .sentAt = now, .endedAt = now, .end = end, .sender = {}});
+        m_runs.add({.request = request, .endpoint = endpoint, .sentAt = now, .endedAt = now, .end = end});
     }
 }
 
@@ -81,26 +97,17 @@
 
 void crash_tracker::onUnprovenReport(const run_notice &report, time_point now)
 {
-    const auto at = now - report.age;
-    m_runs.add({.request = report.request,
-                .endpoint = report.endpoint,
-                .sentAt = at,
-                .endedAt = at,
-                .end = run_end::UnprovenEnd,
-                .source = run_source::Reported,
-                .sender = {}});
+    auto run = runOf(report, run_source::Reported, now);
+    run.end = run_end::UnprovenEnd;
+    m_runs.add(std::move(run));
 }
 
 void crash_tracker::onBackup(const run_notice &notice, const std::string &sender, bool isListed, time_point now)
 {
-    const auto at = now - notice.age;
-    m_runs.add({.request = notice.request,
-                .endpoint = notice.endpoint,
-                .sentAt = at,
-                .endedAt = at,
-                .source = run_source::Backup,
-                .sender = sender,
-                .endpointGone = !isListed});
+    auto run = runOf(notice, run_source::Backup, now);
+    run.sender = sender;
+    run.endpointGone = !isListed;
+    m_runs.add(std::move(run));
 }
 
 std::vector<std::uint64_t> crash_tracker::onSenderLost(const std::string &sender, time_point now)
@@ -173,8 +180,7 @@
 
 void crash_tracker::onSurvived(const open_run &run, time_point now)
 {
-    const bool isSuccess = run.end == run_end::Answered || run.end == run_end::UnprovenEnd;
-    if (run.source == run_source::Own && isSuccess) {
+    if (run.source == run_source::Own && isSuccess(run)) {
         recordAndReportCompletion(run.request, run.endedAt, now);
     }
 }
@@ -268,8 +274,7 @@
 void crash_tracker::settleRuns(time_point now, const liveness_check &isAlive)
 {
     m_runs.eraseIf(m_runs.all(), [&](const open_run &run) {
-        const bool isSuccess = run.end == run_end::Answered || run.end == run_end::UnprovenEnd;
-        const bool isDue = run.source == run_source::Own && isSuccess && now - run.endedAt >= m_survivalTime;
+        const bool isDue = run.source == run_source::Own && isSuccess(run) && now - run.endedAt >= m_survivalTime;
         const bool hasSurvived = isDue && isAlive(run.endpoint);
         if (hasSurvived) {
             onSurvived(run, now);
--- a/src/gateway/endpoint_fates_test.cc
+++ b/src/gateway/endpoint_fates_test.cc
@@ -55,6 +55,14 @@
         }
     }
 
+    // Sends the request, whose crashes have this sign, to the daemons in turn.
+    void expectCounted(crash_sign sign)
+    {
+        world.crashing->sign = sign;
+        sendToAllInTurn();
+        expectFewRuns();
+    }
+
     void expectFewRuns() const
     {
         EXPECT_GE(world.crashing->crashes.size(), crashesUntilKnown);
@@ -67,19 +75,15 @@
 // Guards against a run that still waits when the listing shows that its endpoint is gone, and then counts for nothing.
 TEST_P(endpoint_fates, CountIfTheEntryGoesBeforeTheRunEnds)
 {
-    world.crashing->sign = crash_sign::Silent;
     world.crashing->downTime = 500ms;
-    sendToAllInTurn();
-    expectFewRuns();
+    expectCounted(crash_sign::Silent);
 }
 
 // Guards against a run that is forgotten before the listing shows that its endpoint is gone.
 TEST_P(endpoint_fates, CountIfTheEntryGoesLongAfterTheRunEnds)
 {
-    world.crashing->sign = crash_sign::Silent;
     world.crashing->downTime = 7700ms;
-    sendToAllInTurn();
-    expectFewRuns();
+    expectCounted(crash_sign::Silent);
 }
 
 // Guards against a run that nobody knows any more, since its daemon is killed before the endpoint is known to be gone.
@@ -103,33 +107,25 @@
 // Guards against crashes before which the endpoint has sent an error.
 TEST_P(endpoint_fates, CountAfterAWholeError)
 {
-    world.crashing->sign = crash_sign::WholeError;
-    sendToAllInTurn();
-    expectFewRuns();
+    expectCounted(crash_sign::WholeError);
 }
 
 // Guards against crashes before which the endpoint has sent a success, which is taken for a proof of harmlessness.
 TEST_P(endpoint_fates, CountAfterAWholeSuccess)
 {
-    world.crashing->sign = crash_sign::WholeSuccess;
-    sendToAllInTurn();
-    expectFewRuns();
+    expectCounted(crash_sign::WholeSuccess);
 }
 
 // Guards against crashes during responses that must not be passed on.
 TEST_P(endpoint_fates, CountDuringResponsesThatAreNotPassedOn)
 {
-    world.crashing->sign = crash_sign::UnsignedHead;
-    sendToAllInTurn();
-    expectFewRuns();
+    expectCounted(crash_sign::UnsignedHead);
 }
 
 // Guards against the same if the response could be taken for a refusal.
 TEST_P(endpoint_fates, CountDuringRefusalsThatAreNotPassedOn)
 {
-    world.crashing->sign = crash_sign::UnmarkedRefusal;
-    sendToAllInTurn();
-    expectFewRuns();
+    expectCounted(crash_sign::UnmarkedRefusal);
 }
 
 // Guards against crashes that are dropped because the store was away, so that the entry may only have expired.
--- a/standins/emulator/daemon_process.cc
+++ b/standins/emulator/daemon_process.cc
@@ -25,7 +25,7 @@
 // Below the range from which the kernel takes the ports of outgoing connections. The address belongs to this process.
 constexpr std::uint16_t firstPort = 20000;
 
-std::uint16_t freePort()
+std::uint16_t nextPort()
 {
     static std::uint16_t next = firstPort;
     return next++;
@@ -52,14 +52,14 @@
     : m_program(std::move(program))
     , m_settingsFile(folder + "/" + name + ".toml")
     , m_logFile(folder + "/" + name + ".log")
-    , m_callersPort(freePort())
+    , m_callersPort(nextPort())
 {
     std::ofstream(m_settingsFile) << fmt::format(
         "[daemon]\nname = \"{}\"\nzone = \"z\"\n"
         "[listen]\ncallers = \"{}\"\ndirectory = \"{}\"\nreadiness = \"{}\"\npeers = \"{}\"\nmetrics = \"{}\"\n"
         "[store]\naddress = \"{}\"\n",
-        name, loopback(m_callersPort), loopback(freePort()), loopback(freePort()), loopback(freePort()),
-        loopback(freePort()), storeAddress);
+        name, loopback(m_callersPort), loopback(nextPort()), loopback(nextPort()), loopback(nextPort()),
+        loopback(nextPort()), storeAddress);
 }
 
 daemon_process::~daemon_process()
