--- a/src/gateway/crash_reports.cc
+++ b/src/gateway/crash_reports.cc
@@ -42,7 +42,7 @@
                                              failure_site where, time_point now)
 {
     const bool hasPath = context.relay.has_value() || !m_paths.isCutOff();
-    const endpoint_calls::endpoint_incarnation endpoint{context.endpoint, context.endpointBorn};
+    const auto endpoint = context.endpointIncarnation();
     if (outcome == dispatch_outcome::NotSent) {
         m_crashes.onNotRun(context.identity, endpoint);
         if (where == failure_site::Endpoint && !context.relay.has_value() && hasPath) {
@@ -59,7 +59,7 @@
 // Only the length of a response, its chunks or the number of its tokens prove that it is whole.
 void gateway::implementation::noteRunEnd(const request_context &context, time_point now)
 {
-    const endpoint_calls::endpoint_incarnation endpoint{context.endpoint, context.endpointBorn};
+    const auto endpoint = context.endpointIncarnation();
     const bool isSuccess = context.status / 100 == 2; // An error may have been decided before the request was run.
     const bool endsInsideEvent = context.eventStream && context.eventSplitter.isInsideEvent();
     if (!isSuccess) {
--- a/src/gateway/dispatching.cc
+++ b/src/gateway/dispatching.cc
@@ -191,7 +191,7 @@
     noteResponse(context, now);
     auto &head = received.head;
     recordLimit(context, head.rateLimit, now);
-    const endpoint_calls::endpoint_incarnation endpoint{context.endpoint, context.endpointBorn};
+    const auto endpoint = context.endpointIncarnation();
     noteLeaving(endpoint, head, now);
     if (head.status != misdirectedRequest) {
         m_crashes.onEndpointAlive(endpoint, context.dispatchedAt, now);
@@ -215,7 +215,7 @@
     if (head.status == misdirectedRequest) {
         m_pool.markMisdirected(context.endpoint);
     }
-    m_crashes.onNotRun(context.identity, {context.endpoint, context.endpointBorn});
+    m_crashes.onNotRun(context.identity, context.endpointIncarnation());
     context.excludedEndpoints.insert(context.endpoint);
     m_effects.emplace_back(increment_counter{metric::EndpointFailures, context.service, "rejected"});
     logRequest(log_level::Info, "endpoint_rejected", context, {{"endpoint", context.endpoint}, {"status", head.status}},
--- a/src/gateway/internal/request_context.h
+++ b/src/gateway/internal/request_context.h
@@ -116,6 +116,12 @@
     time_point turnWriteDeadline{};
     std::string turnRecord; // The encoded record of the turn.
     std::optional<time_point> firstByteAt;
+
+    // The start of the endpoint to which the request was sent last.
+    [[nodiscard]] endpoint_calls::endpoint_incarnation endpointIncarnation() const
+    {
+        return {endpoint, endpointBorn};
+    }
 };
 
 } // namespace jackdawpick::gateway::internal
--- a/src/gateway/relaying.cc
+++ b/src/gateway/relaying.cc
@@ -180,7 +180,7 @@
         return;
     }
     if (message.endpointLeaving) {
-        applyLeavingReports(m_peers.nameOf(link), {{context->endpoint, context->endpointBorn}}, now);
+        applyLeavingReports(m_peers.nameOf(link), {context->endpointIncarnation()}, now);
     } else {
         context->refusingPeers.insert(m_peers.nameOf(link));
     }
--- a/src/gateway/requests.cc
+++ b/src/gateway/requests.cc
@@ -126,7 +126,7 @@
     }
     if (context->dispatch.has_value()) {
         cancelDispatch(*context);
-        noteOutcomeUnknown(context->identity, {context->endpoint, context->endpointBorn}, now);
+        noteOutcomeUnknown(context->identity, context->endpointIncarnation(), now);
         releaseEndpoint(*context, fleet::request_outcome::Cancelled, now);
     }
     finishRequest(*context, "caller_gone", now);
@@ -239,7 +239,7 @@
 {
     if (context.dispatch.has_value()) {
         cancelDispatch(context);
-        noteOutcomeUnknown(context.identity, {context.endpoint, context.endpointBorn}, now);
+        noteOutcomeUnknown(context.identity, context.endpointIncarnation(), now);
         // An endpoint that knows the deadline and still sends a body is not sound. One that has not begun may be full.
         const bool sendsOn = context.responseStarted && !context.eventStream;
         releaseEndpoint(context, sendsOn ? fleet::request_outcome::ConnectionLost : fleet::request_outcome::Cancelled,
