--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -6,8 +6,8 @@
 namespace
 {
 
-// The sheet of swanfield-val-grown: 61 turns a second of quick-review, about four in a program, and 26 of comps-brief, about
-// nine in a program, each with 17,000 bytes of input and eight events of 180 bytes; most machines have 96 MB.
+// The sheet of swanfield-val-grown: 61 turns a second of quick-review, about four in a program, and 26 of comps-brief,
+// about nine in a program, each with 17,000 bytes of input and eight events of 180 bytes; most machines have 96 MB.
 constexpr int machines = 6;
 constexpr int memoryMegabytes = 96;
 constexpr std::size_t memoryLimit = std::size_t{memoryMegabytes} << 20U;
@@ -15,7 +15,7 @@
 constexpr int turnsOfLongProgram = 9;
 constexpr int turnsOfShortProgram = 4;
 constexpr int inputBytes = 17000;
-constexpr auto loadTime = 40s;
+constexpr auto loadTime = 55s;
 constexpr int clients = 72;
 
 bool runTurn(const std::string &id, const message &request, connection &link)
@@ -38,14 +38,10 @@
 
 std::string turnText(const std::string &attempt, const std::string &program, const std::string &previous)
 {
-    header_list headers{{"Host", "shop.example"},
-                        {"X-Attempt-Id", attempt},
-                        {"X-Program-Id", program},
-                        {"X-Session-Id", program},
-                        {"X-Program-Deadline-Ms", "20000"},
-                        {"X-Token-Budget", "5000"},
-                        {"X-Token-Usage", "20160,216"},
-                        {"X-Prompt-Prefix", "5c1e:12600," + program + ":7560"},
+    header_list headers{{"Host", "shop.example"},           {"X-Attempt-Id", attempt},
+                        {"X-Program-Id", program},          {"X-Session-Id", program},
+                        {"X-Program-Deadline-Ms", "20000"}, {"X-Token-Budget", "5000"},
+                        {"X-Token-Usage", "20160,216"},     {"X-Prompt-Prefix", "5c1e:12600," + program + ":7560"},
                         {"X-Deadline-Ms", "3000"}};
     if (!previous.empty()) {
         headers.emplace_back("X-Previous-Turn", previous);
@@ -73,15 +69,22 @@
         keepListed(platform, id, entryOf("llm", engines.back()->address()));
     }
     auto brief = plainRoute("/brief/", "streaming", "llm");
-    brief.merge_patch({{"retained", true}, {"retention_s", 60.0}, {"sticky", true}, {"resumable", false}, {"gap_target_ms", 300}, {"priority", 0}});
+    brief.merge_patch({{"retained", true},
+                       {"retention_s", 60.0},
+                       {"sticky", true},
+                       {"resumable", false},
+                       {"gap_target_ms", 300},
+                       {"priority", 0}});
     auto llm = plainService("llm");
     llm["max_connections"] = 590;
-    llm["engine"] = {{"slots", 12}, {"kv_cache_tokens", 290252}, {"tokens_per_event", 27}, {"models", {{{"name", "m"}}}}};
+    llm["engine"] = {
+        {"slots", 12}, {"kv_cache_tokens", 290252}, {"tokens_per_event", 27}, {"models", {{{"name", "m"}}}}};
     platform.put("keyed.op", "config", configuration(1, json::array({brief}), json::array({llm})).dump());
     std::vector<std::unique_ptr<daemon_process>> daemons;
     for (int i = 0; i < machines; ++i) {
-        daemons.push_back(std::make_unique<daemon_process>(folder.path, "frontend-" + std::to_string(i + 1), platform.address(),
-                                                           json{{"limits", {{"memory_mb", memoryMegabytes}, {"file_descriptors", 3075}}}}));
+        daemons.push_back(std::make_unique<daemon_process>(
+            folder.path, "frontend-" + std::to_string(i + 1), platform.address(),
+            json{{"limits", {{"memory_mb", memoryMegabytes}, {"file_descriptors", 3075}}}}));
     }
     for (const auto &daemon : daemons) {
         daemon->awaitReady();
@@ -110,7 +113,8 @@
                 peak = std::max(peak.load(), used);
                 if (used > memoryLimit) {
                     killed = true;
-                    note("the platform kills a daemon: it uses " + std::to_string(used >> 20U) + " MB of " + std::to_string(memoryMegabytes));
+                    note("the platform kills a daemon: it uses " + std::to_string(used >> 20U) + " MB of "
+                         + std::to_string(memoryMegabytes));
                     daemon->signal(SIGKILL);
                 }
             }
@@ -127,12 +131,14 @@
     const auto client = [&](int number) {
         connection link;
         auto *daemon = left[static_cast<std::size_t>(number) % left.size()];
-        const int turnsOfProgram = number * turnsPerSecond / clients % 88 < 26 ? turnsOfLongProgram : turnsOfShortProgram;
+        const int turnsOfProgram =
+            number * turnsPerSecond / clients % 88 < 26 ? turnsOfLongProgram : turnsOfShortProgram;
         bool kept = false; // The connection has served a request before.
         std::string previous;
         std::string program;
         for (int turn = 0; !killed && steady::now() - begin < loadTime; ++turn) {
-            std::this_thread::sleep_until(begin + std::chrono::milliseconds(1000 * (turn * clients + number) / turnsPerSecond));
+            std::this_thread::sleep_until(
+                begin + std::chrono::milliseconds(1000 * (turn * clients + number) / turnsPerSecond));
             if (turn % turnsOfProgram == 0 || previous.empty()) {
                 program = "p" + std::to_string(number) + "-" + std::to_string(turn);
                 previous.clear();
@@ -163,15 +169,16 @@
     }
     for (int i = 0; !killed && steady::now() - begin < loadTime; ++i) {
         if (i % 5 == 0) {
-            note(std::to_string(sent) + " turns sent; most memory of a daemon so far " + std::to_string(peak >> 20U) + " MB");
+            note(std::to_string(sent) + " turns sent; most memory of a daemon so far " + std::to_string(peak >> 20U)
+                 + " MB");
         }
         sleepFor(1s);
     }
     std::ranges::for_each(threads, &std::thread::join);
     note("turns sent: " + std::to_string(sent) + ", answered whole: " + std::to_string(whole)
          + "; on kept connections, had reached a server and closed without an answer: " + std::to_string(lost)
-         + ", broken off: " + std::to_string(brokenOff)
-         + "; most memory of a daemon: " + std::to_string(peak >> 20U) + " MB of " + std::to_string(memoryMegabytes));
+         + ", broken off: " + std::to_string(brokenOff) + "; most memory of a daemon: " + std::to_string(peak >> 20U)
+         + " MB of " + std::to_string(memoryMegabytes));
     if (!killed && whole < sent * 9 / 10) {
         cannotRun("the load was not served");
     }
--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -15,7 +15,8 @@
         }
         const auto attempt = request.header("x-attempt-id");
         const auto tenant = request.header("x-tenant");
-        note("engine runs the turn " + attempt + ", tenant " + (tenant.empty() ? "none" : tenant) + ", body: " + json(request.body).dump());
+        note("engine runs the turn " + attempt + ", tenant " + (tenant.empty() ? "none" : tenant)
+             + ", body: " + json(request.body).dump());
         {
             const std::lock_guard lock(mutex);
             bodies[attempt] = request.body;
@@ -32,11 +33,13 @@
     keepListed(platform, "i-llm", entryOf("llm", llm.address()));
     const auto turnRoute = [](const std::string &prefix, bool isPublic) {
         auto route = plainRoute(prefix, "streaming", "llm");
-        route.merge_patch({{"retained", true}, {"retention_s", 60.0}, {"sticky", true}, {"resumable", false}, {"public", isPublic}});
+        route.merge_patch(
+            {{"retained", true}, {"retention_s", 60.0}, {"sticky", true}, {"resumable", false}, {"public", isPublic}});
         return route;
     };
     auto service = plainService("llm");
-    service["engine"] = {{"slots", 12}, {"kv_cache_tokens", 291669}, {"tokens_per_event", 27}, {"models", {{{"name", "m"}}}}};
+    service["engine"] = {
+        {"slots", 12}, {"kv_cache_tokens", 291669}, {"tokens_per_event", 27}, {"models", {{{"name", "m"}}}}};
     auto config = configuration(1, {turnRoute("/members/", false), turnRoute("/open/", true)}, json::array({service}));
     config["tenants"] = json::array({{{"name", "outlet"}, {"api_keys", json::array({"key-1"})}},
                                      {{"name", "market"}, {"api_keys", json::array({"key-2"})}}});
@@ -53,11 +56,12 @@
     second.awaitReady();
     sleepFor(1500ms);
 
-    const auto turn = [&](const daemon_process &daemon, const std::string &path, const std::string &attempt, const std::string &previous,
-                          const std::string &key, const std::string &input) {
-        header_list headers{{"Host", "shop.example"},  {"X-Attempt-Id", attempt},     {"X-Program-Id", "program-" + attempt},
-                            {"X-Session-Id", attempt}, {"X-Token-Budget", "5000"},    {"X-Token-Usage", "100,100"},
-                            {"X-Prompt-Prefix", "a:100"}, {"X-Deadline-Ms", "3000"}};
+    const auto turn = [&](const daemon_process &daemon, const std::string &path, const std::string &attempt,
+                          const std::string &previous, const std::string &key, const std::string &input) {
+        header_list headers{
+            {"Host", "shop.example"},     {"X-Attempt-Id", attempt},  {"X-Program-Id", "program-" + attempt},
+            {"X-Session-Id", attempt},    {"X-Token-Budget", "5000"}, {"X-Token-Usage", "100,100"},
+            {"X-Prompt-Prefix", "a:100"}, {"X-Deadline-Ms", "3000"}};
         if (!previous.empty()) {
             headers.emplace_back("X-Previous-Turn", previous);
         }
@@ -66,8 +70,8 @@
         }
         connection client;
         client.open(daemon.callers);
-        note("client sends POST " + path + ", id " + attempt + ", previous turn " + (previous.empty() ? "none" : previous) + ", "
-             + (key.empty() ? "no key" : key) + ", input " + input);
+        note("client sends POST " + path + ", id " + attempt + ", previous turn "
+             + (previous.empty() ? "none" : previous) + ", " + (key.empty() ? "no key" : key) + ", input " + input);
         client.send(requestText("POST", path, headers, input));
         const auto response = client.read(false, "POST");
         note("client gets " + describe(response));
--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -42,27 +42,36 @@
     for (int i = 0; i < 8; ++i) {
         const bool isEngine = i < 4;
         const auto id = (isEngine ? "i-llm-" : "i-shop-") + std::to_string(i);
-        servers.push_back(std::make_unique<server>("127.0.0.1", [&, id, isEngine](const message &request, connection &link) {
-            if (!isMeantFor(id, request, link)) {
-                return true;
-            }
-            reached.add(request.header("x-attempt-id"));
-            if (isEngine) {
-                return runTurn(id, request, link);
-            }
-            sleepFor(104ms); // As order-place takes.
-            return link.send(responseText(200, signatureOf(id, request), std::string(800, 'd')));
-        }));
+        servers.push_back(
+            std::make_unique<server>("127.0.0.1", [&, id, isEngine](const message &request, connection &link) {
+                if (!isMeantFor(id, request, link)) {
+                    return true;
+                }
+                reached.add(request.header("x-attempt-id"));
+                if (isEngine) {
+                    return runTurn(id, request, link);
+                }
+                sleepFor(104ms); // As order-place takes.
+                return link.send(responseText(200, signatureOf(id, request), std::string(800, 'd')));
+            }));
         keepListed(platform, id, entryOf(isEngine ? "llm" : "shop", servers.back()->address(), isEngine ? 12 : 6));
     }
     auto chat = plainRoute("/chat/", "streaming", "llm");
-    chat.merge_patch({{"retained", true}, {"retention_s", 60.0}, {"sticky", true}, {"resumable", false}, {"gap_target_ms", 200}, {"priority", 0}});
+    chat.merge_patch({{"retained", true},
+                      {"retention_s", 60.0},
+                      {"sticky", true},
+                      {"resumable", false},
+                      {"gap_target_ms", 200},
+                      {"priority", 0}});
     auto llm = plainService("llm");
     llm["max_connections"] = 150;
-    llm["engine"] = {{"slots", 12}, {"kv_cache_tokens", 416087}, {"tokens_per_event", 27}, {"models", {{{"name", "m"}}}}};
-    platform.put("keyed.op", "config",
-                 configuration(1, {chat, plainRoute("/order/", "non_idempotent", "shop")}, {llm, plainService("shop")}).dump());
-    daemon_process daemon(folder.path, "frontend-1", platform.address(), {{"limits", {{"memory_mb", memoryMegabytes}}}});
+    llm["engine"] = {
+        {"slots", 12}, {"kv_cache_tokens", 416087}, {"tokens_per_event", 27}, {"models", {{{"name", "m"}}}}};
+    platform.put(
+        "keyed.op", "config",
+        configuration(1, {chat, plainRoute("/order/", "non_idempotent", "shop")}, {llm, plainService("shop")}).dump());
+    daemon_process daemon(folder.path, "frontend-1", platform.address(),
+                          {{"limits", {{"memory_mb", memoryMegabytes}}}});
     daemon.awaitReady();
     sleepFor(1s);
 
@@ -75,7 +84,8 @@
             peak = std::max(peak.load(), daemon.memory());
             if (peak > memoryLimit) {
                 killed = true;
-                note("the platform kills the daemon: " + std::to_string(peak >> 20U) + " MB of " + std::to_string(memoryMegabytes)
+                note("the platform kills the daemon: " + std::to_string(peak >> 20U) + " MB of "
+                     + std::to_string(memoryMegabytes)
                      + "; turns of the crowd that have ended: " + std::to_string(ended));
                 daemon.signal(SIGKILL);
             }
@@ -84,9 +94,10 @@
     }).detach();
 
     const auto turn = [&](const std::string &attempt, const std::string &previous, const std::string &input) {
-        header_list headers{{"Host", "shop.example"},     {"X-Attempt-Id", attempt}, {"X-Program-Id", "program"},
-                            {"X-Session-Id", attempt},    {"X-Program-Deadline-Ms", "20000"}, {"X-Token-Budget", "100000"},
-                            {"X-Token-Usage", "800,270"}, {"X-Prompt-Prefix", "a:800"}, {"X-Deadline-Ms", "3000"}};
+        header_list headers{
+            {"Host", "shop.example"},     {"X-Attempt-Id", attempt},          {"X-Program-Id", "program"},
+            {"X-Session-Id", attempt},    {"X-Program-Deadline-Ms", "20000"}, {"X-Token-Budget", "100000"},
+            {"X-Token-Usage", "800,270"}, {"X-Prompt-Prefix", "a:800"},       {"X-Deadline-Ms", "3000"}};
         if (!previous.empty()) {
             headers.emplace_back("X-Previous-Turn", previous);
         }
@@ -109,8 +120,9 @@
             client.open(daemon.callers);
             for (int i = 0; !stop; ++i) {
                 const auto attempt = "order-" + std::to_string(payer) + "-" + std::to_string(i);
-                client.send(requestText("POST", "/order/now",
-                                        {{"Host", "shop.example"}, {"X-Attempt-Id", attempt}, {"X-Deadline-Ms", "3000"}}, "order"));
+                client.send(requestText(
+                    "POST", "/order/now",
+                    {{"Host", "shop.example"}, {"X-Attempt-Id", attempt}, {"X-Deadline-Ms", "3000"}}, "order"));
                 const auto response = client.read(false, "POST");
                 if (!response.has_value()) {
                     const bool isLost = i > 0 && reached.count(attempt) > 0;
@@ -144,7 +156,8 @@
     std::ranges::for_each(threads, &std::thread::join);
     note("turns of the crowd answered whole: " + std::to_string(whole) + "; orders answered: " + std::to_string(served)
          + "; orders on kept connections that had reached a server and got no answer: " + std::to_string(lost)
-         + "; the daemon's memory was at most " + std::to_string(peak >> 20U) + " MB of " + std::to_string(memoryMegabytes));
+         + "; the daemon's memory was at most " + std::to_string(peak >> 20U) + " MB of "
+         + std::to_string(memoryMegabytes));
     if (!withTrouble() && whole != crowd) {
         cannotRun("not all turns of the usual size were served");
     }
--- a/review/stage-2.hpp
+++ b/review/stage-2.hpp
@@ -351,7 +351,8 @@
             ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
             std::thread([this, socket] {
                 connection link(socket);
-                for (auto request = link.read(true); request.has_value() && request->complete; request = link.read(true)) {
+                for (auto request = link.read(true); request.has_value() && request->complete;
+                     request = link.read(true)) {
                     if (!m_handle(*request, link)) {
                         return;
                     }
@@ -433,7 +434,9 @@
         m_changed.notify_all();
     }
     // Called with each call before it is served; returns false to refuse it with 503.
-    std::function<bool(const message &)> admits = [](const message &) { return true; };
+    std::function<bool(const message &)> admits = [](const message &) {
+        return true;
+    };
 
 private:
     struct partition
@@ -507,7 +510,9 @@
         const auto most = queryValue(target, "max_read_kb");
         const std::size_t bytes = (most.empty() ? 1024 : std::stoul(most)) * 1024;
         std::unique_lock lock(m_mutex);
-        const auto arrived = [&] { return at(target).end() > from || from < at(target).first; };
+        const auto arrived = [&] {
+            return at(target).end() > from || from < at(target).first;
+        };
         m_changed.wait_for(lock, std::chrono::milliseconds(wait.empty() ? 0 : std::stoul(wait)), arrived);
         const auto &where = at(target);
         if (from < where.first) {
@@ -543,7 +548,8 @@
                 more = true;
                 break;
             }
-            items.push_back({{"key", item->first}, {"value", base64(item->second.first)}, {"offset", item->second.second}});
+            items.push_back(
+                {{"key", item->first}, {"value", base64(item->second.first)}, {"offset", item->second.second}});
         }
         return jsonResponse(200, {{"items", items}, {"more", more}, {"end", where.end()}});
     }
@@ -570,9 +576,9 @@
 // The entry of a server in the store.
 inline json entryOf(const std::string &service, const std::string &address, int slots = 12)
 {
-    return {{"service", service}, {"address", address},     {"zone", "zone-a"},         {"version", 1},
-            {"slots", slots},     {"state", "ready"},       {"cold_remaining_ms", 0},   {"sequence", 1},
-            {"born", 1780000000000}};
+    return {{"service", service},     {"address", address}, {"zone", "zone-a"},
+            {"version", 1},           {"slots", slots},     {"state", "ready"},
+            {"cold_remaining_ms", 0}, {"sequence", 1},      {"born", 1780000000000}};
 }
 
 // Writes the entry anew at each heartbeat, as a server does.
@@ -614,7 +620,9 @@
         const auto close = text.find("}}", open);
         auto name = text.substr(open + 2, close - open - 2);
         text.erase(0, close + 2);
-        const auto valueOf = [&](const std::string &key) { return key == "." ? current : lookUp(fields, key); };
+        const auto valueOf = [&](const std::string &key) {
+            return key == "." ? current : lookUp(fields, key);
+        };
         if (name[0] == '#' || name[0] == '^') {
             const auto key = name.substr(1);
             const auto end = text.find("{{/" + key + "}}");
@@ -772,7 +780,8 @@
 
 // ---- Configurations ----
 
-inline json plainRoute(const std::string &prefix, const std::string &kind, const std::string &service, int timeout = 3000)
+inline json plainRoute(const std::string &prefix, const std::string &kind, const std::string &service,
+                       int timeout = 3000)
 {
     return {{"name", "r" + prefix.substr(1, prefix.size() - 2)},
             {"host", "shop.example"},
@@ -787,7 +796,11 @@
 
 inline json plainService(const std::string &name)
 {
-    return {{"name", name}, {"health_path", "/healthz"}, {"max_connections", 96}, {"protocol", "h1"}, {"tls_enabled", false}};
+    return {{"name", name},
+            {"health_path", "/healthz"},
+            {"max_connections", 96},
+            {"protocol", "h1"},
+            {"tls_enabled", false}};
 }
 
 inline json configuration(int version, const json &routes, const json &services)
@@ -850,7 +863,8 @@
         return "no answer, the connection has ended";
     }
     const auto stamp = response->header("x-server-stamp");
-    return response->first + (response->complete ? ", whole" : ", broken off") + (stamp.empty() ? ", no stamp" : ", " + stamp);
+    return response->first + (response->complete ? ", whole" : ", broken off")
+        + (stamp.empty() ? ", no stamp" : ", " + stamp);
 }
 
 } // namespace stage
