Ids of callers without a tenant never name a tenant's turns and programs

Cause: the ids of tenants were qualified as text, "6:outlet/turn-0", and those of callers without a tenant were left as they came, so that both had one space of names.

Change: qualified_id is a tenant and an id with one encoding, which is injective over both kinds. Names of tenants' ids and ordinary ids stay as earlier builds wrote them, so that records, budgets and peers of these agree. An id of a caller without a tenant that reads like a qualified one gets an empty tenant's prefix. The hash that identifies crashing requests had the same fault (fields joined with spaces, so that a program id with a space reads like a tenant): its fields are escaped; it stays the same for fields without spaces.

What an earlier build beside this one still lets through, while the daemons are replaced: its own callers without a key reach tenants' names, as before; this build can't tell such a record from the tenant's.

Tests: QualifiedId (property: no two values share a name, names are read back), RequestIdentity, TenantKeys.TurnsOfATenantDoNotExistForCallersWithoutAKey and BudgetOfATenantIsNotThatOfCallersWithoutAKey; the latter two fail with the encoding as it was (200 and the other's texts; 402).

--- a/src/gateway/requests.cc
+++ b/src/gateway/requests.cc
@@ -1,6 +1,7 @@
 // Arrival, refusal and completion of requests.
 
 #include "gateway/internal/implementation.h"
+#include "gateway/internal/request_identity.h"
 #include "gateway/internal/retry_delays.h"
 
 #include <algorithm>
@@ -32,33 +33,6 @@
     return static_cast<double>(XXH3_64bits(key.data(), key.size()) >> 32U) / range;
 }
 
-// What names the caller of a request in all its attempts: the program if there is one, else the session or the object.
-std::string_view callerOf(const caller_request &request)
-{
-    if (!request.program.empty()) {
-        return request.program;
-    }
-    return request.session.empty() ? request.affinity : request.session;
-}
-
-// All attempts of a request have the same content. A body identifies a request under whatever program, session or
-// previous turn it comes again; requests without one are told apart by their program and object. Those of two tenants
-// are never the same.
-endpoint_calls::request_identity identityOf(const caller_request &request, const routing::tenant *tenant)
-{
-    auto head = fmt::format("{} {} {}", request.method, request.host, request.path);
-    if (tenant != nullptr) {
-        head += fmt::format(" {}", tenant->name);
-    }
-    if (request.body.empty()) {
-        head += fmt::format(" {} {}", request.program, request.affinity);
-    }
-    const auto caller = callerOf(request);
-    return {.content =
-                XXH3_64bits_withSeed(request.body.data(), request.body.size(), XXH3_64bits(head.data(), head.size())),
-            .caller = XXH3_64bits(caller.data(), caller.size())};
-}
-
 milliseconds timeoutFor(const caller_request &request, const routing::route &route)
 {
     milliseconds longest = request.deadline.value_or(defaultDeadline);
@@ -102,7 +76,8 @@
     context.previousRecord = context.request.previousTurn;
     context.arrived = now;
     context.deadline = now + timeoutFor(context.request, *route);
-    context.identity = identityOf(context.request, context.tenant);
+    context.identity =
+        internal::identityOf(context.request, context.tenant == nullptr ? std::string_view() : context.tenant->name);
     m_deadlines.emplace(context.deadline, context.id);
     if (!refuseIfBlocked(context, now)) {
         prepareRequest(context, now);
--- a/src/gateway/tenant_keys.cc
+++ b/src/gateway/tenant_keys.cc
@@ -1,8 +1,7 @@
 // Keys of tenants: whose requests they are, and whether the configuration is new enough to tell.
 
 #include "gateway/internal/implementation.h"
-
-#include <fmt/format.h>
+#include "gateway/internal/qualified_id.h"
 
 namespace jackdawpick::gateway
 {
@@ -16,15 +15,6 @@
 // whose reads succeed knows of each version within the time of one long poll.
 constexpr milliseconds maxAgeForUnknownKey{2000};
 
-// Ids are chosen by callers. Those of two tenants must not name the same program or turn; the length tells where the
-// name of the tenant ends.
-void qualify(std::string &id, const routing::tenant &tenant)
-{
-    if (!id.empty()) {
-        id = fmt::format("{}:{}/{}", tenant.name.size(), tenant.name, id);
-    }
-}
-
 } // namespace
 
 std::optional<milliseconds> gateway::implementation::configurationAge(time_point now) const
@@ -77,10 +67,8 @@
 {
     context.callerAttempt = context.request.attempt;
     context.tenant = tenant;
-    if (tenant != nullptr) {
-        qualify(context.request.attempt, *tenant);
-        qualify(context.request.program, *tenant);
-        qualify(context.request.previousTurn, *tenant);
+    for (auto *id : {&context.request.attempt, &context.request.program, &context.request.previousTurn}) {
+        *id = internal::encode({.tenant = tenant == nullptr ? std::string() : tenant->name, .id = std::move(*id)});
     }
 }
 
--- a/src/gateway/tenant_keys_test.cc
+++ b/src/gateway/tenant_keys_test.cc
@@ -29,9 +29,24 @@
     open.pathPrefix = "/open/";
     open.isPublic = true;
     configuration.routes.push_back(open);
+    auto openModel = configuration.routes[0];
+    openModel.name = "open-model";
+    openModel.pathPrefix = "/model/open/";
+    openModel.isPublic = true;
+    configuration.routes.push_back(openModel);
     return configuration;
 }
 
+// A turn of a caller without a key.
+caller_request publicTurn(const std::string &program, const std::string &attempt, std::uint32_t budget = 1000,
+                          const std::string &previous = {})
+{
+    auto request = modelTurn(program, attempt, budget, previous);
+    request.path = "/model/open/turn";
+    request.target = request.path;
+    return request;
+}
+
 caller_request withKey(caller_request request, const std::string &key)
 {
     request.key = key;
@@ -178,6 +193,38 @@
     EXPECT_EQ(runOf(world, "t2"), nullptr);
 }
 
+// Guards against a caller without a key that gets, or replaces, the conversation of a tenant with an id that holds the
+// tenant's name.
+TEST(TenantKeys, TurnsOfATenantDoNotExistForCallersWithoutAKey)
+{
+    tenant_world world(2);
+    ASSERT_EQ(world.sendAndWait(0, withKey(modelTurn("p", "t1"), "red-key")).status, 200);
+    EXPECT_EQ(world.sendAndWait(1, publicTurn("p", "o1", 1000, "t1")).status, 404);
+    EXPECT_EQ(world.sendAndWait(1, publicTurn("p", "o2", 1000, "3:red/t1")).status, 404);
+    ASSERT_EQ(world.sendAndWait(0, publicTurn("p", "3:red/t1")).status, 200);
+    const auto turn = withKey(modelTurn("p", "t2", 1000, "t1"), "red-key");
+    for (const int daemon : {0, 1}) {
+        auto next = turn;
+        next.attempt += fmt::format("-{}", daemon);
+        ASSERT_EQ(world.sendAndWait(daemon, next).status, 200);
+        EXPECT_EQ(world.runs.back().body, modelTurn("p", "t1").body + eventTextOf("t1") + next.body);
+    }
+    // The caller finds its own turn.
+    ASSERT_EQ(world.sendAndWait(1, publicTurn("p", "o3", 1000, "3:red/t1")).status, 200);
+    EXPECT_EQ(world.runs.back().body,
+              publicTurn("p", "3:red/t1").body + eventTextOf("3:red/t1") + publicTurn("p", "o3").body);
+}
+
+// Guards against a caller without a key that uses up the budget of a tenant's program.
+TEST(TenantKeys, BudgetOfATenantIsNotThatOfCallersWithoutAKey)
+{
+    tenant_world world(1);
+    constexpr std::uint32_t budget = 60; // One turn.
+    ASSERT_EQ(world.sendAndWait(0, publicTurn("3:red/p", "o1", budget)).status, 200);
+    EXPECT_EQ(world.sendAndWait(0, withKey(modelTurn("p", "r1", budget), "red-key")).status, 200);
+    EXPECT_EQ(world.sendAndWait(0, publicTurn("3:red/p", "o2", budget)).status, 402);
+}
+
 // Guards against programs of two tenants that share a budget because they have the same id.
 TEST(TenantKeys, BudgetsAreToldApartByTenant)
 {
