A configuration without tenants left still asks for keys

Change: routing::configuration::tenants is unset or a list, which may be empty; route_table::asksForKeys() says whether it is there. A request that was taken under a configuration without keys is looked at again when it is sent: if the configuration in force asks for keys by then, it is refused (503, not run), since it was assigned to no tenant and its credentials may be a tenant's key.

--- a/src/gateway/dispatching.cc
+++ b/src/gateway/dispatching.cc
@@ -1,6 +1,7 @@
 // Dispatch of requests to endpoints: placement, forwarding of responses, and handling of endpoint failures.
 
 #include "gateway/internal/implementation.h"
+#include "gateway/internal/retry_delays.h"
 
 #include <algorithm>
 
@@ -88,6 +89,10 @@
         refuseRequest(context, result_code::DeadlineBeforeDispatch, std::nullopt, now);
         return;
     }
+    if (!isKeyCheckValid(context, now)) {
+        refuseRequest(context, result_code::ConfigurationStale, internal::staleConfigurationRetryDelay, now);
+        return;
+    }
     const auto request = placementRequestFor(context);
     const auto chosen = m_pool.choose(request, random(), now);
     if (chosen.has_value()) {
@@ -151,12 +156,12 @@
 
 endpoint_calls::endpoint_request gateway::implementation::endpointRequestFor(const request_context &context,
                                                                              const fleet::placement &chosen,
-                                                                             time_point now)
+                                                                             time_point now) const
 {
     const auto &request = context.request;
     const bool toEngine = context.route->kind == routing::request_kind::Stream;
     auto headers = request.headers;
-    if (!context.table->hasTenants()) {
+    if (!context.table->asksForKeys() && mayForwardCredentials(now)) {
         std::ranges::copy(request.credentials, std::back_inserter(headers));
     }
     return {.address = chosen.address,
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -103,6 +103,8 @@
     };
 
     [[nodiscard]] key_check checkKey(const caller_request &request, const routing::route &route, time_point now) const;
+    [[nodiscard]] bool mayForwardCredentials(time_point now) const;
+    [[nodiscard]] bool isKeyCheckValid(const request_context &context, time_point now) const;
     // How long ago the configuration in force was known to be the newest; nothing if it never was.
     [[nodiscard]] std::optional<std::chrono::milliseconds> configurationAge(time_point now) const;
     // Whether the configuration in force is new enough for requests with keys.
@@ -286,8 +288,8 @@
     void dispatch(request_context &context, time_point now);
     bool refuseIfBlocked(request_context &context, time_point now);
     void sendToEndpoint(request_context &context, const fleet::placement &chosen, time_point now);
-    [[nodiscard]] static endpoint_calls::endpoint_request
-    endpointRequestFor(const request_context &context, const fleet::placement &chosen, time_point now);
+    [[nodiscard]] endpoint_calls::endpoint_request
+    endpointRequestFor(const request_context &context, const fleet::placement &chosen, time_point now) const;
     void releaseEndpoint(request_context &context, fleet::request_outcome outcome, time_point now);
     void onRejected(request_context &context, const endpoint_calls::endpoint_head &head, time_point now);
     void startForwarding(request_context &context, endpoint_calls::endpoint_head &head, time_point now);
--- a/src/gateway/quotas.cc
+++ b/src/gateway/quotas.cc
@@ -68,7 +68,7 @@
 void gateway::implementation::applyQuotas(const routing::configuration &configuration, time_point now)
 {
     m_quotas.limits.clear();
-    for (const auto &tenant : configuration.tenants) {
+    for (const auto &tenant : configuration.tenants.value_or(std::vector<routing::tenant>())) {
         if (tenant.ratePerSecond > 0) {
             m_quotas.limits.emplace(tenant.name, limitOf(tenant));
         }
@@ -204,7 +204,7 @@
     const auto limit = m_quotas.limits.find(tenant);
     if (limit == m_quotas.limits.end()) {
         // The limit may have been removed; a tenant that is not known may have been added by a newer configuration.
-        const auto &tenants = m_table->source().tenants;
+        const auto &tenants = m_table->tenants();
         const bool isKnown = std::ranges::find(tenants, tenant, &routing::tenant::name) != tenants.end();
         return isKnown ? std::optional(quotas::permit_grant{.granted = 1}) : std::nullopt;
     }
--- a/src/gateway/requests.cc
+++ b/src/gateway/requests.cc
@@ -13,14 +13,13 @@
 namespace
 {
 
+using internal::staleConfigurationRetryDelay;
 using internal::storeRetryDelay;
 using std::chrono::milliseconds;
 
 // For requests without a deadline from the caller; the timeout of the route may shorten it.
 constexpr milliseconds defaultDeadline{30000};
 constexpr milliseconds noConfigurationRetryDelay{250};
-// Another daemon most likely reaches the store.
-constexpr milliseconds staleConfigurationRetryDelay{20};
 // An endpoint responds on its own when the deadline that it was given passes; this is the time for that response to
 // arrive.
 constexpr milliseconds endpointResponseGrace{60};
--- a/src/gateway/tenant_keys.cc
+++ b/src/gateway/tenant_keys.cc
@@ -32,13 +32,14 @@
 
 void gateway::implementation::logKeyValidity(time_point now)
 {
-    if (m_table == nullptr || !m_table->hasTenants()) {
+    if (m_table == nullptr) {
         return;
     }
     const bool checked = canCheckKeys(now);
     if (std::exchange(m_keysWereChecked, checked) != checked) {
         log(checked ? log_level::Info : log_level::Warning, checked ? "keys_checked_again" : "keys_not_checked",
             {{"configuration", m_table->source().version},
+             {"asks_for_keys", m_table->asksForKeys()},
              {"age_ms", configurationAge(now).value_or(milliseconds(-1)).count()}});
     }
 }
@@ -48,9 +49,13 @@
 gateway::implementation::key_check gateway::implementation::checkKey(const caller_request &request,
                                                                      const routing::route &route, time_point now) const
 {
-    if (!m_table->hasTenants() || route.isPublic) {
+    if (route.isPublic) {
         return {};
     }
+    if (!m_table->asksForKeys()) {
+        const bool mayRun = request.credentials.empty() || mayForwardCredentials(now);
+        return {.refusal = mayRun ? std::nullopt : std::optional(result_code::ConfigurationStale)};
+    }
     if (!canCheckKeys(now)) {
         return {.refusal = result_code::ConfigurationStale};
     }
@@ -63,6 +68,22 @@
     return {.refusal = mayBeNew ? result_code::ConfigurationStale : result_code::UnknownKey};
 }
 
+// Credentials of callers reach endpoints only where the configuration in force asks for no keys.
+bool gateway::implementation::mayForwardCredentials(time_point /*now*/) const
+{
+    return !m_table->asksForKeys();
+}
+
+// Whether the request may still be sent: it may have been taken under a configuration that asked for no keys, and wait
+// while one that does comes into force, or while the former becomes too old.
+bool gateway::implementation::isKeyCheckValid(const request_context &context, time_point now) const
+{
+    if (context.route->isPublic || context.table->asksForKeys()) {
+        return true;
+    }
+    return !m_table->asksForKeys() && (context.request.credentials.empty() || mayForwardCredentials(now));
+}
+
 void gateway::implementation::assignTenant(request_context &context, const routing::tenant *tenant)
 {
     context.callerAttempt = context.request.attempt;
--- a/src/gateway/tenant_keys_test.cc
+++ b/src/gateway/tenant_keys_test.cc
@@ -22,8 +22,8 @@
 {
     auto configuration = initialConfiguration();
     configuration.version = version;
-    configuration.tenants = {{.name = "red", .keys = std::move(keysOfRed), .rank = 3},
-                             {.name = "blue", .keys = {"blue-key"}}};
+    configuration.tenants = std::vector<routing::tenant>{{.name = "red", .keys = std::move(keysOfRed), .rank = 3},
+                                                         {.name = "blue", .keys = {"blue-key"}}};
     auto open = configuration.routes[1];
     open.name = "open";
     open.pathPrefix = "/open/";
@@ -137,6 +137,60 @@
     EXPECT_EQ(world.sendAndWait(1, withKey(shopRequest("/read/1", "a3"), "new-key")).status, 200);
 }
 
+// Guards against keys that are served, and shown to endpoints, once a configuration takes the last tenant away, also by a
+// daemon that knows nothing of the versions before.
+TEST(TenantKeys, NoKeyIsServedOnceThereAreNoTenantsLeft)
+{
+    tenant_world world(2);
+    auto emptied = configurationWithTenants(3, {});
+    emptied.tenants->clear();
+    world.publish(emptied);
+    world.runFor(configurationApplyTime);
+    world.kill(1);
+    world.start(1);
+    world.warmUp();
+    for (const int daemon : {0, 1}) {
+        for (const auto *key : {"red-key", "blue-key", "no-key"}) {
+            const auto request = withKey(shopRequest("/read/1", fmt::format("{}-{}", key, daemon)), key);
+            EXPECT_EQ(world.sendAndWait(daemon, request).status, 401);
+            EXPECT_EQ(runOf(world, request.attempt), nullptr);
+        }
+        EXPECT_EQ(world.sendAndWait(daemon, shopRequest("/read/1", fmt::format("none-{}", daemon))).status, 401);
+        EXPECT_EQ(world.sendAndWait(daemon, shopRequest("/open/1", fmt::format("open-{}", daemon))).status, 200);
+    }
+    world.publish(configurationWithTenants(4, {"red-key"}));
+    world.runFor(configurationApplyTime);
+    EXPECT_EQ(world.sendAndWait(1, withKey(shopRequest("/read/1", "back"), "red-key")).status, 200);
+    EXPECT_EQ(world.sendAndWait(1, withKey(shopRequest("/read/1", "unknown"), "no-key")).status, 401);
+}
+
+// Guards against a request that was taken under a configuration without keys, waits for a place, and is sent with its
+// credentials, or for no tenant, once the configuration in force asks for keys.
+TEST(TenantKeys, RequestThatWaitsIsNotSentUnderANewerConfigurationThatAsksForKeys)
+{
+    gateway_world world({.daemons = 1, .shopEndpoints = 1, .keyLifetime = keyLifetime});
+    world.warmUp();
+    world.endpointLimits["shop-0"] = 1; // A request a second.
+    for (int i = 0; i < 3; ++i) {
+        world.sendAndWait(0, shopRequest("/read/1", fmt::format("warm-{}", i)));
+    }
+    std::vector<const caller_response *> responses;
+    for (int i = 0; i < 4; ++i) {
+        responses.push_back(&world.send(0, withKey(shopRequest("/pay/1", fmt::format("wait-{}", i)), "red-key")));
+    }
+    world.publish(configurationWithTenants(2, {"red-key"}));
+    world.runFor(50ms);
+    const auto sentBefore = world.runs.size();
+    world.runFor(4s);
+    for (auto run = world.runs.begin() + static_cast<std::ptrdiff_t>(sentBefore); run != world.runs.end(); ++run) {
+        EXPECT_FALSE(hasHeader(*run, "authorization")) << run->attempt;
+        EXPECT_EQ(run->tenant, "red") << run->attempt;
+    }
+    EXPECT_TRUE(std::ranges::any_of(responses, [](const auto *response) {
+        return response->refusal == result_code::ConfigurationStale;
+    }));
+}
+
 // Guards against a removed key that runs at a daemon which is cut off from the store and from its peers. Public routes
 // need no configuration that new.
 TEST(TenantKeys, RemovedKeysEndAtADaemonThatIsCutOff)
--- a/src/routing/routing.cc
+++ b/src/routing/routing.cc
@@ -27,8 +27,8 @@
         return std::tuple(std::string_view(a.host), b.pathPrefix.size())
             < std::tuple(std::string_view(b.host), a.pathPrefix.size());
     });
-    for (std::size_t i = 0; i < m_source.tenants.size(); ++i) {
-        for (const auto &key : m_source.tenants[i].keys) {
+    for (std::size_t i = 0; i < tenants().size(); ++i) {
+        for (const auto &key : tenants()[i].keys) {
             m_tenantsByKey.emplace(key, i);
         }
     }
@@ -51,12 +51,18 @@
 const tenant *route_table::findTenant(std::string_view key) const
 {
     const auto found = m_tenantsByKey.find(key);
-    return found == m_tenantsByKey.end() ? nullptr : &m_source.tenants[found->second];
+    return found == m_tenantsByKey.end() ? nullptr : &tenants()[found->second];
 }
 
-bool route_table::hasTenants() const
+const std::vector<tenant> &route_table::tenants() const
 {
-    return !m_source.tenants.empty();
+    static const std::vector<tenant> none;
+    return m_source.tenants.has_value() ? *m_source.tenants : none;
+}
+
+bool route_table::asksForKeys() const
+{
+    return m_source.tenants.has_value();
 }
 
 const configuration &route_table::source() const
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -91,7 +91,8 @@
     std::vector<route> routes;
     std::vector<service> services;
     caller_limits limits;
-    std::vector<tenant> tenants; // Empty: requests carry no keys.
+    // Unset: requests carry no keys. An empty list asks for keys, and no key is one of a tenant.
+    std::optional<std::vector<tenant>> tenants;
 };
 
 class route_table
@@ -106,12 +107,13 @@
     [[nodiscard]] const service *findService(std::string_view name) const;
     // Returns the tenant that holds the key, or null. The pointer is valid for the lifetime of the table.
     [[nodiscard]] const tenant *findTenant(std::string_view key) const;
-    [[nodiscard]] bool hasTenants() const;
+    [[nodiscard]] const std::vector<tenant> &tenants() const; // Empty if requests carry no keys.
+    [[nodiscard]] bool asksForKeys() const;
     [[nodiscard]] const configuration &source() const;
 
 private:
     configuration m_source; // Routes are sorted by host, then by descending prefix length.
-    std::map<std::string, std::size_t, std::less<>> m_tenantsByKey; // Indices in m_source.tenants.
+    std::map<std::string, std::size_t, std::less<>> m_tenantsByKey; // Indices in tenants().
 };
 
 // Selects a service in proportion to the weights of the route. `position` in [0, 1), such as a hash of the request,
