Under strict revocation an old configuration without tenants forwards no credentials

Change: with a lifetime of keys, credentials are forwarded only under a configuration that was the newest at most 2 s ago, the same age beyond which a key that it lacks is not refused for good. Beyond it a request with credentials gets 503 (not run). A request without any is served: no key of a tenant can be shown or run by it, and what needs no store is served while the store is away.

--- a/src/gateway/tenant_keys.cc
+++ b/src/gateway/tenant_keys.cc
@@ -68,10 +68,13 @@
     return {.refusal = mayBeNew ? result_code::ConfigurationStale : result_code::UnknownKey};
 }
 
-// Credentials of callers reach endpoints only where the configuration in force asks for no keys.
-bool gateway::implementation::mayForwardCredentials(time_point /*now*/) const
+// Credentials of callers reach endpoints only where the configuration in force asks for no keys. With a lifetime of
+// keys it must also be new enough: a later version may have brought tenants, whose keys no endpoint may see.
+bool gateway::implementation::mayForwardCredentials(time_point now) const
 {
-    return !m_table->asksForKeys();
+    return !m_table->asksForKeys()
+        && (!m_options.keyLifetime.has_value()
+            || configurationAge(now).value_or(milliseconds::max()) <= maxAgeForUnknownKey);
 }
 
 // Whether the request may still be sent: it may have been taken under a configuration that asked for no keys, and wait
--- a/src/gateway/tenant_keys_test.cc
+++ b/src/gateway/tenant_keys_test.cc
@@ -164,6 +164,33 @@
     EXPECT_EQ(world.sendAndWait(1, withKey(shopRequest("/read/1", "unknown"), "no-key")).status, 401);
 }
 
+// Guards against keys shown to endpoints by a daemon that is cut off from the store and does not know of the first
+// tenants. Requests without credentials are served meanwhile, and all of them where keys have no lifetime.
+TEST(TenantKeys, CredentialsAreNotForwardedUnderAnOldConfiguration)
+{
+    for (const bool isStrict : {true, false}) {
+        world_options options{.daemons = 2};
+        if (isStrict) {
+            options.keyLifetime = keyLifetime;
+        }
+        gateway_world world(options);
+        world.warmUp();
+        world.storeBehaviours[0].refuses = true;
+        world.blockedLinks = {{0, 1}, {1, 0}};
+        world.runFor(100ms);
+        world.publish(configurationWithTenants(2, {"red-key"}));
+        world.runFor(configurationApplyTime);
+        for (int i = 0; i < 6; ++i) {
+            const auto attempt = fmt::format("a{}", i);
+            const auto &response = world.sendAndWait(0, withKey(shopRequest("/pay/1", attempt), "red-key"));
+            EXPECT_EQ(response.status, isStrict ? 503 : 200);
+            EXPECT_EQ(world.runsOf(attempt), isStrict ? 0 : 1);
+        }
+        EXPECT_EQ(world.sendAndWait(0, shopRequest("/pay/1", "none")).status, 200);
+        EXPECT_EQ(world.sendAndWait(1, withKey(shopRequest("/pay/1", "other"), "red-key")).status, 200);
+    }
+}
+
 // Guards against a request that was taken under a configuration without keys, waits for a place, and is sent with its
 // credentials, or for no tenant, once the configuration in force asks for keys.
 TEST(TenantKeys, RequestThatWaitsIsNotSentUnderANewerConfigurationThatAsksForKeys)
