--- a/src/endpoint_calls/endpoint_calls.h
+++ b/src/endpoint_calls/endpoint_calls.h
@@ -7,6 +7,8 @@
 //
 // Value types; thread compatible.
 
+#include "rope/rope.h"
+
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -53,7 +55,7 @@
     std::string host;
     std::string target; // Path and query.
     header_list headers;
-    std::string body;
+    rope body;
     std::chrono::milliseconds remaining{0}; // Time until the deadline, at which the endpoint stops.
     std::optional<int> priority; // 0 is the most urgent.
     std::string tenant; // Whose request it is; empty if there are no tenants.
--- a/src/gateway/budgets.cc
+++ b/src/gateway/budgets.cc
@@ -25,6 +25,8 @@
 constexpr int storeCallsPerDecision = 3;
 constexpr unsigned maxDeciders = 3;
 constexpr milliseconds turnHolderLifetime{60000};
+// Longer histories are read from the store: each reply is held several times on its way, here and at the peer.
+constexpr std::size_t maxTurnReplyBytes = 512U << 10U;
 
 programs::reservation reservationFor(const caller_request &request)
 {
@@ -306,7 +308,7 @@
 void gateway::implementation::on(link_id link, const peers::turn_request &message, time_point now)
 {
     peers::turn_reply reply{.id = message.id, .history = {}, .records = {}};
-    if (const auto *text = m_turns.find(message.turn); text != nullptr) {
+    if (const auto *text = m_turns.find(message.turn); text != nullptr && text->size() <= maxTurnReplyBytes) {
         const auto &chain = *m_turns.chainOf(message.turn);
         reply.found = true;
         reply.history = *text;
@@ -330,12 +332,15 @@
         readHistoryFromStore(*context, now);
         return;
     }
+    if (!reserveTexts(*context, bytesToReceive(*context, message.history.size()), now)) {
+        return;
+    }
     programs::turn_chain chain{.records = message.records, .began = std::nullopt, .tokens = message.tokens};
     if (message.beganAgo.has_value()) {
         // The reply was sent after the request, so this is not later than the true time.
         chain.began = node.mapped().sent - *message.beganAgo;
     }
-    useHistory(*context, message.history, std::move(chain), now);
+    useHistory(*context, rope(m_texts.share(message.history.str())), std::move(chain), now);
 }
 
 // ---- Timeouts and lost links ----
--- a/src/gateway/dispatching.cc
+++ b/src/gateway/dispatching.cc
@@ -173,7 +173,7 @@
             .host = request.host,
             .target = request.target,
             .headers = std::move(headers),
-            .body = context.history + request.body,
+            .body = context.history + rope(context.input),
             .remaining = millisecondsBetween(now, context.deadline),
             .priority = toEngine ? std::optional(admission::priorityOf(urgencyOf(context))) : std::nullopt,
             .tenant = context.tenant == nullptr ? std::string() : context.tenant->name};
@@ -330,6 +330,7 @@
             forwarded += complete->raw;
         }
     }
+    countResponse(context);
     if (const auto events = context.eventCount - eventsBefore; events > 0) {
         if (context.lastEventAt.has_value()) {
             m_pool.onStreamEvents(context.endpoint, events, millisecondsBetween(*context.lastEventAt, now), now,
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -64,6 +64,11 @@
     return m_impl->status(now);
 }
 
+std::size_t gateway::textBytes() const
+{
+    return m_impl->textBytes();
+}
+
 std::string gateway::dump(time_point now) const
 {
     return m_impl->dump(now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -46,6 +46,8 @@
     std::optional<std::chrono::milliseconds> keyLifetime;
     std::size_t turnCacheBytes = 4U << 20U; // Of the texts of turns.
     std::size_t turnChainBytes = 4U << 20U; // Of the locations of their records in the log, with ids.
+    // Of the texts of requests, turns under way and cached turns. Beyond it, turns are refused.
+    std::size_t maxTextBytes = 64U << 20U;
     std::chrono::milliseconds turnLocationRetention{300000}; // How long the locations of turns in the log are cached.
     std::uint64_t seed = 1;
     quotas::quota_rule quotaRule; // What holds for the limits of tenants.
@@ -113,6 +115,8 @@
     // Names of all daemons that accept requests, this one included.
     [[nodiscard]] std::vector<std::string> readyDaemons(time_point now) const;
     [[nodiscard]] gateway_status status(time_point now) const;
+    // Bytes of the texts that it holds or has set memory aside for, those in effects included.
+    [[nodiscard]] std::size_t textBytes() const;
     // The state as JSON text, for operators.
     [[nodiscard]] std::string dump(time_point now) const;
 
--- a/src/gateway/internal/implementation.h
+++ b/src/gateway/internal/implementation.h
@@ -2,7 +2,8 @@
 
 // The state and the event handlers of the gateway, grouped by file: requests.cc (arrival, refusal, completion),
 // tenant_keys.cc (whose requests they are), budgets.cc (reservations), settlements.cc (what they were used for),
-// turns.cc (histories), turn_writes.cc (their records), segment_writes.cc (of long ones), turn_trimming.cc (deletion of
+// turns.cc (histories), text_memory.cc (what these take of the
+// memory), turn_writes.cc (their records), segment_writes.cc (of long ones), turn_trimming.cc (deletion of
 // these), dispatching.cc (endpoints), program_admission.cc (whether these have room), quotas.cc (of tenants),
 // endpoint_limits.cc (their rate limits), endpoint_leaving.cc (those that leave), relaying.cc (paths to them, dispatch
 // through peers), crash_reports.cc (requests that crash endpoints), crash_records.cc (their records), platform_state.cc
@@ -17,6 +18,7 @@
 #include "gateway/internal/peer_table.h"
 #include "gateway/internal/record_write_schedule.h"
 #include "gateway/internal/request_context.h"
+#include "gateway/internal/settlement_state.h"
 #include "gateway/internal/store_access.h"
 #include "gateway/internal/trim_marks.h"
 #include "limits/limits.h"
@@ -46,6 +48,7 @@
     [[nodiscard]] std::vector<internal::listed_daemon> readyDaemons(time_point now) const;
     [[nodiscard]] gateway_status status(time_point now) const;
     [[nodiscard]] std::string dump(time_point now) const;
+    [[nodiscard]] std::size_t textBytes() const;
 
 private:
     using request_context = internal::request_context;
@@ -170,35 +173,9 @@
     programs::budget_partition &budgetsOf(const store::partition &where);
 
     // settlements.cc
-    // A daemon that has the text of a turn.
-    struct turn_holder
-    {
-        std::string daemon;
-        time_point since;
-    };
-
-    // A report of use that was sent to a decider.
-    struct sent_usage
-    {
-        std::string decider;
-        peers::budget_use use;
-        time_point at;
-    };
-
-    // A look for the turns of unsettled reservations of a program.
-    struct settlement_check
-    {
-        std::vector<std::string> turns;
-        struct denied_request
-        {
-            programs::reservation request;
-            time_point deadline;
-        };
-
-        std::vector<denied_request> denied; // Decided again when the check ends.
-        std::size_t openReads = 0;
-        bool incomplete = false; // A partition could not be read to its end.
-    };
+    using turn_holder = internal::turn_holder;
+    using sent_usage = internal::sent_usage;
+    using settlement_check = internal::settlement_check;
 
     void settlePreviousTurn(request_context &context, time_point now);
     void settleReservation(request_context &context, bool holdsTurn, time_point now);
@@ -211,6 +188,15 @@
     void onSettlementRead(const std::string &program, bool readToEnd, time_point now);
     void finishSettlementCheck(const std::string &program, time_point now);
 
+    // text_memory.cc
+    [[nodiscard]] bool makeTextRoom(std::size_t more);
+    [[nodiscard]] std::size_t bytesToWrite(const request_context &context) const;
+    [[nodiscard]] static std::size_t bytesToReceive(const request_context &context, std::size_t historyBytes);
+    // Returns false if the request was refused.
+    [[nodiscard]] bool reserveTexts(request_context &context, std::size_t bytes, time_point now);
+    static void countResponse(request_context &context);
+    [[nodiscard]] shared_text shareRecord(request_context &context, std::string record);
+
     // turns.cc
     void resolveHistory(request_context &context, const std::string &holder, time_point now);
     void readHistoryFromStore(request_context &context, time_point now);
@@ -223,10 +209,11 @@
     [[nodiscard]] bool isForgotten(const std::string &turn) const;
     void rewindEvictedTurns();
     void onTurnDelivered(const programs::turn &turn, const programs::turn_location &location, time_point now);
-    void useHistory(request_context &context, std::string history, programs::turn_chain chain, time_point now);
+    void useHistory(request_context &context, rope history, programs::turn_chain chain, time_point now);
     void dispatchIfPrepared(request_context &context, time_point now);
     void startTurnWrite(request_context &context, time_point now);
     [[nodiscard]] bool reachesBackTooFar(const request_context &context, time_point now) const;
+    [[nodiscard]] bool mayReachBackTooFar(const request_context &context) const;
     void writeTurn(request_context &context, time_point now);
     void writeTurnRecord(request_context &context, std::string text, time_point now);
     void onTurnWritten(request_context &context, const store::ticket_result &result, time_point now);
@@ -249,13 +236,13 @@
     static constexpr std::size_t maxSegmentBytes = 160U << 10U;
 
     [[nodiscard]] static bool isSegmentId(std::string_view id);
-    [[nodiscard]] static std::string_view unwrittenInput(const request_context &context);
+    [[nodiscard]] static rope textToWrite(const request_context &context, bool rewrites);
     [[nodiscard]] static time_point segmentsDeadline(const request_context &context);
     [[nodiscard]] std::optional<time_point> segmentsDueAt(const request_context &context, time_point now) const;
     void planSegments(request_context &context, std::optional<time_point> when);
     void continueDueSegments(time_point now);
     [[nodiscard]] std::optional<time_point> nextSegments() const;
-    void startSegments(request_context &context, bool rewrites, std::string_view text, time_point now);
+    void startSegments(request_context &context, bool rewrites, const rope &text, std::size_t bytes, time_point now);
     void appendSegment(const request_context &context, internal::segment &segment, time_point now);
     void retrySegments(request_context &context, time_point now);
     void onSegmentWritten(request_context &context, std::size_t number, const store::ticket_result &result,
@@ -405,6 +392,7 @@
         std::uint16_t status = 0; // Of the response; 0 before it has begun.
         bool notExecuted = false; // The endpoint states that it did not run the request.
         bool endsWithConnection = false; // As in endpoint_head.
+        text_reservation memory; // For the body of the request.
     };
 
     [[nodiscard]] bool needsRelay(const request_context &context) const;
@@ -556,6 +544,7 @@
     std::map<store::ticket_id, std::string> m_settlementReads; // Programs whose checks wait for these.
     std::uint64_t m_lastPeerRequest = 0;
     bounded_map<turn_holder> m_turnHolders; // By turn.
+    text_account m_texts;
     programs::turn_cache m_turns;
     // The longest retention of any route of the configurations that were in force since the start.
     std::optional<std::chrono::milliseconds> m_longestRetention;
--- a/src/gateway/internal/qualified_id_test.cc
+++ b/src/gateway/internal/qualified_id_test.cc
@@ -13,7 +13,8 @@
 // Ids of which many read like names: the parts of a name in any order.
 std::string arbitraryId()
 {
-    const auto part = rc::gen::element<std::string>("0", "1", "3", "03", ":", "/", "red", "r", "a", "", std::string(1, '\0'));
+    const auto part =
+        rc::gen::element<std::string>("0", "1", "3", "03", ":", "/", "red", "r", "a", "", std::string(1, '\0'));
     const auto parts = *rc::gen::container<std::vector<std::string>>(part);
     std::string id;
     for (const auto &each : parts) {
@@ -25,7 +26,8 @@
 qualified_id arbitraryValue()
 {
     auto id = *rc::gen::oneOf(rc::gen::exec(arbitraryId), rc::gen::arbitrary<std::string>());
-    auto tenant = *rc::gen::oneOf(rc::gen::element<std::string>("", "red", "r", "3:red/"), rc::gen::arbitrary<std::string>());
+    auto tenant =
+        *rc::gen::oneOf(rc::gen::element<std::string>("", "red", "r", "3:red/"), rc::gen::arbitrary<std::string>());
     if (id.empty()) {
         id = "a";
     }
--- a/src/gateway/internal/request_context.h
+++ b/src/gateway/internal/request_context.h
@@ -38,7 +38,7 @@
 {
     std::size_t number = 0; // Counts the segments of the request.
     std::string id;
-    std::string record; // Encoded.
+    shared_text record; // Encoded.
     bool useFallbackPartition = false; // For the append under way, or the next one.
     bool retryPending = false; // No append is under way.
     std::optional<programs::turn_location> location; // Unset until written.
@@ -56,7 +56,10 @@
 struct request_context
 {
     caller_id id{};
-    caller_request request;
+    caller_request request; // Without its body.
+    shared_text input; // The body of the request.
+    std::size_t countedResponse = 0; // Bytes set aside for the response.
+    text_reservation memory; // For the texts that it still makes: records of its turn, and histories that are read.
     std::shared_ptr<const routing::route_table> table; // The table in force when the request arrived.
     const routing::route *route = nullptr;
     const routing::tenant *tenant = nullptr; // Of `table`; null on public routes and where there are no tenants.
@@ -78,7 +81,7 @@
     bool historyPending = false;
     bool historyReadIncomplete = false; // A partition that may hold the previous turn could not be read to its end.
     bool useFallbackPartition = false; // Reading from or writing to the primary partition did not succeed.
-    std::string history; // Text of the turns that the request continues.
+    rope history; // Text of the turns that the request continues.
     programs::turn_chain chain; // Where that text lies in the log.
     std::optional<history_read> historyRead; // Set while the records of the chain are read.
 
@@ -110,6 +113,7 @@
     std::uint32_t eventCount = 0;
     std::optional<time_point> lastEventAt;
     std::string responseText; // Event data of a retained turn, or the body of a buffered response.
+    shared_text response; // The event data of a retained turn, once the response is complete.
     std::string previousRecord; // Id of the last record of `chain`.
     bool inputWritten = false; // `chain` holds the input of the turn after the history.
     std::optional<segmented_write> segmentedWrite; // Set while segments are written.
@@ -117,7 +121,7 @@
     std::size_t segmentCount = 0;
     time_point turnWriteBegan{};
     time_point turnWriteDeadline{};
-    std::string turnRecord; // The encoded record of the turn.
+    shared_text turnRecord; // The encoded record of the turn.
     std::optional<time_point> firstByteAt;
     fleet::reading_forecast reading; // Of the last dispatch.
     std::optional<time_point> waitingForRoomSince; // No engine had room in its memory then.
--- a/src/gateway/platform_state.cc
+++ b/src/gateway/platform_state.cc
@@ -3,8 +3,8 @@
 #include "gateway/internal/implementation.h"
 
 #include <algorithm>
-#include <numeric>
 #include <nlohmann/json.hpp>
+#include <numeric>
 
 namespace jackdawpick::gateway
 {
--- a/src/gateway/relaying.cc
+++ b/src/gateway/relaying.cc
@@ -13,8 +13,10 @@
 
 using std::chrono::milliseconds;
 
-// Requests of peers that a daemon sends at the same time. The bodies fit into the memory of a small host.
+// Requests of peers that a daemon sends at the same time.
 constexpr std::size_t maxRelayedRequests = 128;
+// Longer requests are not relayed: a link takes messages of 16 MB, and each holds its body several times on its way.
+constexpr std::size_t maxRelayedBodyBytes = 8U << 20U;
 // A response beyond this size is not relayed: the peer may take it more slowly than the endpoint sends it.
 constexpr std::size_t maxRelayedResponseBytes = 4U << 20U;
 constexpr milliseconds silenceCheckInterval{100};
@@ -120,6 +122,9 @@
 std::optional<gateway::implementation::relay_choice>
 gateway::implementation::chooseRelay(const request_context &context, const std::string &zone, time_point now) const
 {
+    if (context.history.size() + context.input.size() > maxRelayedBodyBytes) {
+        return std::nullopt;
+    }
     auto peers = m_peers.ready(now);
     std::erase_if(peers, [&](const auto &peer) {
         return !peer.relays || !peer.link.has_value() || context.refusingPeers.contains(peer.name)
@@ -210,7 +215,10 @@
 {
     const bool blocked = m_crashes.isBlocked(message.request.identity, now);
     const bool leaving = m_pool.isLeaving({message.request.endpoint, message.request.endpointBorn});
-    const bool canRelay = m_relayed.size() < maxRelayedRequests && !m_paths.isCutOff() && !refusesArrivals(now);
+    const auto bytes = message.request.body.size();
+    const bool hasMemory = makeTextRoom(bytes);
+    const bool canRelay =
+        m_relayed.size() < maxRelayedRequests && hasMemory && !m_paths.isCutOff() && !refusesArrivals(now);
     const bool accepted = canRelay && !blocked && !leaving;
     log(log_level::Info, accepted ? "request_relayed" : "relay_refused",
         {{"request", message.request.attempt},
@@ -219,6 +227,7 @@
          {"relayed", m_relayed.size()},
          {"blocked", blocked},
          {"leaving", leaving},
+         {"memory_left", hasMemory},
          {"stopping", m_shutdownBegan.has_value()},
          {"endpoints_reachable", !m_paths.isCutOff()}});
     if (!accepted) {
@@ -232,7 +241,8 @@
                       relayed_dispatch{.link = link,
                                        .request = message.id,
                                        .endpoint = {message.request.endpoint, message.request.endpointBorn},
-                                       .identity = message.request.identity});
+                                       .identity = message.request.identity,
+                                       .memory = m_texts.reserve(bytes)});
     m_crashes.onSent(message.request.identity, {message.request.endpoint, message.request.endpointBorn}, now);
     m_effects.emplace_back(start_dispatch{dispatch, message.request});
 }
--- a/src/gateway/requests.cc
+++ b/src/gateway/requests.cc
@@ -78,7 +78,8 @@
     context.identity =
         internal::identityOf(context.request, context.tenant == nullptr ? std::string_view() : context.tenant->name);
     m_deadlines.emplace(context.deadline, context.id);
-    if (!refuseIfBlocked(context, now)) {
+    context.input = m_texts.share(std::exchange(context.request.body, {}));
+    if (!refuseIfBlocked(context, now) && reserveTexts(context, bytesToWrite(context), now)) {
         prepareRequest(context, now);
     }
 }
--- a/src/gateway/segment_writes.cc
+++ b/src/gateway/segment_writes.cc
@@ -24,10 +24,14 @@
 
 } // namespace
 
-// The input of the turn, unless the records of its chain hold it.
-std::string_view gateway::implementation::unwrittenInput(const request_context &context)
+// What is to be written before the response: all of it if the records of the chain are too old, else the input, unless
+// they hold it.
+rope gateway::implementation::textToWrite(const request_context &context, bool rewrites)
 {
-    return context.inputWritten ? std::string_view() : std::string_view(context.request.body);
+    if (rewrites) {
+        return context.history + rope(context.input);
+    }
+    return context.inputWritten ? rope() : rope(context.input);
 }
 
 // When the history, the input or both are to be written in segments; unset if the record of the turn can hold them.
@@ -36,11 +40,11 @@
     if (!context.route->retainsTurns) {
         return std::nullopt;
     }
-    if (unwrittenInput(context).size() > maxSegmentBytes) {
+    if (textToWrite(context, false).size() > maxSegmentBytes) {
         return now;
     }
     const auto &chain = context.chain;
-    if (chain.records.empty() || context.history.size() + context.request.body.size() <= maxSegmentBytes) {
+    if (chain.records.empty() || context.history.size() + context.input.size() <= maxSegmentBytes) {
         return std::nullopt;
     }
     return chain.began.has_value() ? std::max(now, *chain.began + checkpointAge()) : now;
@@ -67,9 +71,8 @@
             retrySegments(context, now);
         } else if (context.phase == request_phase::Dispatched) {
             const bool rewrites = reachesBackTooFar(context, now);
-            startSegments(context, rewrites,
-                          rewrites ? context.history + context.request.body : std::string(unwrittenInput(context)),
-                          now);
+            const auto text = textToWrite(context, rewrites);
+            startSegments(context, rewrites, text, text.size(), now);
         }
     }
 }
@@ -84,25 +87,25 @@
     return id.find(segmentMark) != std::string_view::npos;
 }
 
-// Writes the text in segments, which form a chain like turns do: one of their own if `rewrites` is set, else after the
-// records of the request's chain.
-void gateway::implementation::startSegments(request_context &context, bool rewrites, std::string_view text,
-                                            time_point now)
+// Writes that much of the text in segments, which form a chain like turns do: one of their own if `rewrites` is set,
+// else after the records of the request's chain.
+void gateway::implementation::startSegments(request_context &context, bool rewrites, const rope &text,
+                                            std::size_t bytes, time_point now)
 {
     auto &write = context.segmentedWrite.emplace();
     write.before = rewrites ? programs::turn_chain{} : context.chain;
     write.began = now;
     auto previous = rewrites ? std::string() : context.previousRecord;
-    for (; !text.empty(); text.remove_prefix(std::min(text.size(), maxSegmentBytes))) {
+    for (std::size_t written = 0; written < bytes; written += maxSegmentBytes) {
         const auto number = context.segmentCount++;
         const programs::turn piece{.id = fmt::format("{}{}{}", context.request.attempt, segmentMark, number),
                                    .previous = std::exchange(previous, {}),
-                                   .text = std::string(text.substr(0, maxSegmentBytes)),
+                                   .text = text.substr(written, std::min(maxSegmentBytes, bytes - written)),
                                    .ancestors = {}};
         previous = piece.id;
         write.segments.push_back({.number = number,
                                   .id = piece.id,
-                                  .record = programs::encodeRecord(piece),
+                                  .record = shareRecord(context, programs::encodeRecord(piece)),
                                   .useFallbackPartition = isFailing(turnPartition(piece.id, false), now),
                                   .location = std::nullopt});
         appendSegment(context, write.segments.back(), now);
@@ -212,9 +215,9 @@
     context.segmentedWrite.reset();
     planSegments(context, std::nullopt);
     logRequest(log_level::Warning, "segment_not_written", context, chainFields(context.chain, now), now);
-    auto text = std::string(unwrittenInput(context)) + context.responseText;
+    const auto text = textToWrite(context, false) + rope(context.response);
     if (text.size() <= maxSegmentBytes && outlivesRetention(context.chain, context.turnWriteDeadline)) {
-        writeTurnRecord(context, std::move(text), now);
+        writeTurnRecord(context, text.str(), now);
     } else {
         breakOffUnkept(context, now);
     }
--- a/src/gateway/tenant_keys_test.cc
+++ b/src/gateway/tenant_keys_test.cc
@@ -137,8 +137,8 @@
     EXPECT_EQ(world.sendAndWait(1, withKey(shopRequest("/read/1", "a3"), "new-key")).status, 200);
 }
 
-// Guards against keys that are served, and shown to endpoints, once a configuration takes the last tenant away, also by a
-// daemon that knows nothing of the versions before.
+// Guards against keys that are served, and shown to endpoints, once a configuration takes the last tenant away, also by
+// a daemon that knows nothing of the versions before.
 TEST(TenantKeys, NoKeyIsServedOnceThereAreNoTenantsLeft)
 {
     tenant_world world(2);
@@ -201,8 +201,10 @@
     for (int i = 0; i < 3; ++i) {
         world.sendAndWait(0, shopRequest("/read/1", fmt::format("warm-{}", i)));
     }
+    constexpr int requests = 4;
     std::vector<const caller_response *> responses;
-    for (int i = 0; i < 4; ++i) {
+    responses.reserve(requests);
+    for (int i = 0; i < requests; ++i) {
         responses.push_back(&world.send(0, withKey(shopRequest("/pay/1", fmt::format("wait-{}", i)), "red-key")));
     }
     world.publish(configurationWithTenants(2, {"red-key"}));
@@ -213,9 +215,8 @@
         EXPECT_FALSE(hasHeader(*run, "authorization")) << run->attempt;
         EXPECT_EQ(run->tenant, "red") << run->attempt;
     }
-    EXPECT_TRUE(std::ranges::any_of(responses, [](const auto *response) {
-        return response->refusal == result_code::ConfigurationStale;
-    }));
+    EXPECT_TRUE(std::ranges::any_of(
+        responses, [](const auto *response) { return response->refusal == result_code::ConfigurationStale; }));
 }
 
 // Guards against a removed key that runs at a daemon which is cut off from the store and from its peers. Public routes
--- a/src/gateway/testing/gateway_world.cc
+++ b/src/gateway/testing/gateway_world.cc
@@ -86,6 +86,7 @@
     options.layout.partsPerTopic = m_options.parts;
     options.keyLifetime = m_options.keyLifetime;
     options.turnCacheBytes = m_options.turnCacheBytes;
+    options.maxTextBytes = m_options.maxTextBytes;
     options.turnChainBytes = m_options.turnChainBytes;
     options.seed = m_random();
     ++state.incarnation;
@@ -354,7 +355,7 @@
         return store::failure::Full;
     }
     for (const auto &value : call.records) {
-        records.push_back({.offset = records.size(), .key = {}, .value = value});
+        records.push_back({.offset = records.size(), .key = {}, .value = value.str()});
     }
     m_storedBytes += bytes;
     appendedBytes += isOfTurns(call.where) ? bytes : 0;
--- a/src/gateway/testing/gateway_world.h
+++ b/src/gateway/testing/gateway_world.h
@@ -124,6 +124,7 @@
     int readsPerSecond = 0; // Reads of all daemons that it accepts; 0: no limit.
     std::optional<std::chrono::milliseconds> keyLifetime; // As in gateway_options.
     std::size_t turnCacheBytes = 4U << 20U; // As in gateway_options.
+    std::size_t maxTextBytes = 64U << 20U; // As in gateway_options.
     std::size_t turnChainBytes = 4U << 20U; // As in gateway_options.
     bool printLog = false; // Prints the log of all daemons, to debug a failing test.
 };
--- a/src/gateway/testing/world_endpoints.cc
+++ b/src/gateway/testing/world_endpoints.cc
@@ -74,7 +74,7 @@
     }
     runs.push_back({.endpoint = output.request.endpoint,
                     .attempt = output.request.attempt,
-                    .body = output.request.body,
+                    .body = output.request.body.str(),
                     .at = now(),
                     .tenant = output.request.tenant,
                     .headers = output.request.headers,
--- a/src/gateway/turn_eviction_test.cc
+++ b/src/gateway/turn_eviction_test.cc
@@ -51,8 +51,12 @@
 // not certain is no 404.
 TEST(TurnEviction, TurnThatMayHaveBeenForgottenIsNotUnknown)
 {
-    gateway_world world(
-        {.daemons = 1, .eventInterval = 2ms, .parts = 1, .turnTopics = 1, .turnCacheBytes = 4000, .turnChainBytes = 6000});
+    gateway_world world({.daemons = 1,
+                         .eventInterval = 2ms,
+                         .parts = 1,
+                         .turnTopics = 1,
+                         .turnCacheBytes = 4000,
+                         .turnChainBytes = 6000});
     world.warmUp();
     runTurns(world, "turn-", 40);
     restartAll(world, 1);
--- a/src/gateway/turn_writes.cc
+++ b/src/gateway/turn_writes.cc
@@ -31,6 +31,7 @@
     context.turnWriteBegan = now;
     context.turnWriteDeadline = now + turnWriteTimeout;
     settleReservation(context, true, now);
+    context.response = m_texts.share(std::exchange(context.responseText, {}));
     if (context.segmentedWrite.has_value()) {
         retrySegments(context, now);
     } else {
@@ -48,6 +49,12 @@
     return !chain.records.empty() && (!chain.began.has_value() || now - *chain.began >= checkpointAge());
 }
 
+// Whether they may have to be before the response of the request ends.
+bool gateway::implementation::mayReachBackTooFar(const request_context &context) const
+{
+    return reachesBackTooFar(context, context.deadline + turnWriteTimeout);
+}
+
 // The time at which the end of a response stops waiting for segments.
 time_point gateway::implementation::segmentsDeadline(const request_context &context)
 {
@@ -58,31 +65,31 @@
 void gateway::implementation::writeTurn(request_context &context, time_point now)
 {
     const bool rewrites = reachesBackTooFar(context, now);
-    auto text = rewrites ? context.history + context.request.body : std::string(unwrittenInput(context));
-    text += context.responseText;
+    const auto text = textToWrite(context, rewrites) + rope(context.response);
     if (text.size() > maxSegmentBytes) {
         const auto rest = (text.size() - 1) / maxSegmentBytes * maxSegmentBytes;
-        startSegments(context, rewrites, std::string_view(text).substr(0, rest), now);
-        context.segmentedWrite->rest = text.substr(rest);
+        startSegments(context, rewrites, text, rest, now);
+        context.segmentedWrite->rest = text.substr(rest, maxSegmentBytes);
         planSegments(context, segmentsDeadline(context));
         return;
     }
     if (rewrites) {
         context.chain = {};
     }
-    writeTurnRecord(context, std::move(text), now);
+    writeTurnRecord(context, text.str(), now);
 }
 
 void gateway::implementation::writeTurnRecord(request_context &context, std::string text, time_point now)
 {
-    context.history += context.request.body;
-    context.history += context.responseText;
-    context.turnRecord = programs::encodeRecord(programs::turn{.id = context.request.attempt,
-                                                               .previous = context.previousRecord,
-                                                               .text = std::move(text),
-                                                               .ancestors = context.chain.records,
-                                                               .historyHash = programs::hashHistory(context.history),
-                                                               .tokens = tokensDelivered(context)});
+    context.history.append(context.input);
+    context.history.append(context.response);
+    const programs::turn record{.id = context.request.attempt,
+                                .previous = context.previousRecord,
+                                .text = std::move(text),
+                                .ancestors = context.chain.records,
+                                .historyHash = programs::hashHistory(context.history),
+                                .tokens = tokensDelivered(context)};
+    context.turnRecord = shareRecord(context, programs::encodeRecord(record));
     context.useFallbackPartition = isFailing(turnPartition(context.request.attempt, false), now);
     appendTurn(context, now);
 }
--- a/src/gateway/turns.cc
+++ b/src/gateway/turns.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <charconv>
 #include <iterator>
+#include <numeric>
 #include <xxhash.h>
 
 namespace jackdawpick::gateway
@@ -84,12 +85,15 @@
     m_effects.emplace_back(send_message{*link, peers::turn_request{m_lastPeerRequest, turn}});
 }
 
-void gateway::implementation::useHistory(request_context &context, std::string history, programs::turn_chain chain,
+void gateway::implementation::useHistory(request_context &context, rope history, programs::turn_chain chain,
                                          time_point now)
 {
     context.history = std::move(history);
     context.chain = std::move(chain);
     context.historyPending = false;
+    if (!reserveTexts(context, bytesToWrite(context), now)) {
+        return;
+    }
     settlePreviousTurn(context, now);
     if (context.deniedUnsettled && !context.grantedBy.has_value()) {
         context.decidersAsked = 0;
@@ -160,7 +164,7 @@
     if (m_turns.chainOf(turn.id) != nullptr) {
         return;
     }
-    if (auto history = programs::joinHistory({turn}, turn.id); history.has_value()) {
+    if (auto history = programs::joinHistory({turn}, turn.id, m_texts); history.has_value()) {
         m_turns.add(turn.id, std::move(*history), std::move(chain), now);
     } else {
         m_turns.addChain(turn.id, std::move(chain), now);
@@ -172,6 +176,12 @@
 void gateway::implementation::readChain(request_context &context, std::vector<programs::turn_location> places,
                                         time_point now)
 {
+    const auto historyBytes =
+        std::accumulate(places.begin(), places.end(), std::size_t{0},
+                        [](std::size_t sum, const programs::turn_location &place) { return sum + place.bytes; });
+    if (!reserveTexts(context, bytesToReceive(context, historyBytes), now)) {
+        return;
+    }
     const auto count = places.size();
     context.historyRead = internal::history_read{.places = std::move(places),
                                                  .records = std::vector<std::optional<programs::turn>>(count)};
@@ -231,15 +241,16 @@
     }
     std::vector<programs::turn> records;
     std::ranges::transform(read->records, std::back_inserter(records), [](auto &entry) { return std::move(*entry); });
-    auto history = programs::joinHistory(records, context.request.previousTurn);
+    const auto tokens = records.back().tokens;
+    const auto recordCount = records.size();
+    auto history = programs::joinHistory(std::move(records), context.request.previousTurn, m_texts);
     if (!history.has_value()) {
         logRequest(log_level::Error, "history_inconsistent", context,
-                   {{"turn", context.request.previousTurn}, {"records", records.size()}}, now);
+                   {{"turn", context.request.previousTurn}, {"records", recordCount}}, now);
         refuseRequest(context, result_code::HistoryUnavailable, storeRetryDelay, now);
         return;
     }
-    programs::turn_chain chain{
-        .records = std::move(read->places), .began = std::nullopt, .tokens = records.back().tokens};
+    programs::turn_chain chain{.records = std::move(read->places), .began = std::nullopt, .tokens = tokens};
     read.reset();
     useHistory(context, std::move(*history), std::move(chain), now);
 }
--- a/src/gateway_daemon/client_limits.cc
+++ b/src/gateway_daemon/client_limits.cc
@@ -13,7 +13,8 @@
 // Counted bytes as a share of the host's memory. The rest is for what the allocator adds, for copies while a request is
 // passed on, and for incomplete messages of links (17 MB).
 constexpr double heldShare = 0.45;
-// Resident memory of a daemon without load, beside what it keeps of turns.
+// Resident memory of a daemon without load, beside what it knows of turns. Their texts are counted with those of
+// requests.
 constexpr std::size_t idleBytes = 10U << 20U;
 // A request of the largest size is held by its connection, and once more on its way to the endpoint.
 constexpr std::size_t largestBodiesHeld = 3;
@@ -37,7 +38,7 @@
     net::client_limits limits{.heldBytes = defaultHeldBytes, .connections = settings.maxConnections};
     if (settings.hostMemoryBytes > 0) {
         const auto share = static_cast<std::size_t>(heldShare * static_cast<double>(settings.hostMemoryBytes));
-        const std::size_t idle = idleBytes + settings.turnCacheBytes + settings.turnChainBytes;
+        const std::size_t idle = idleBytes + settings.turnChainBytes;
         limits.heldBytes = share - std::min(share, idle);
     }
     limits.heldBytes = std::max<std::size_t>(limits.heldBytes, largestBodiesHeld * settings.maxBodyBytes);
--- a/src/gateway_daemon/gateway_daemon.cc
+++ b/src/gateway_daemon/gateway_daemon.cc
@@ -79,6 +79,7 @@
         options.keyLifetime = settings.revocationTimeout - keyLifetimeMargin;
     }
     options.turnCacheBytes = settings.turnCacheBytes;
+    options.maxTextBytes = clientLimitsFor(settings).heldBytes;
     options.turnChainBytes = settings.turnChainBytes;
     options.turnLocationRetention = settings.turnLocationRetention;
     options.seed = options.self.incarnation;
@@ -208,8 +209,10 @@
 
 void gateway_daemon::implementation::listenForCallers()
 {
+    auto options = listenOptionsFor(m_settings.callers, m_settings);
+    options.handlerHoldsBodies = true;
     m_loop.listenHttp(
-        listenOptionsFor(m_settings.callers, m_settings),
+        options,
         [this](net::http_request request) {
             const gateway::caller_id caller{static_cast<std::uint64_t>(request.id)};
             handleEvent(gateway::request_arrived{caller, platform::decodeRequest(std::move(request))});
@@ -327,6 +330,7 @@
     for (auto &effect : effects) {
         std::visit([this](auto &typedEffect) { execute(typedEffect); }, effect);
     }
+    m_loop.holdTexts(m_gateway.textBytes());
     m_loop.wakeAt(m_gateway.nextDeadline(), [this] { handleEvent(gateway::tick{}); });
 }
 
--- a/src/metrics/metrics.cc
+++ b/src/metrics/metrics.cc
@@ -83,7 +83,7 @@
     row{metric::DroppedLogLines, "jackdawpick_dropped_log_lines_total", Counter, "lines", "",
         "Log lines that standard output did not take in time."},
     row{metric::HeldBytes, "jackdawpick_held_bytes", Gauge, "bytes", "kind",
-        "Bytes held for connections; kind is input, head, body, response or control."},
+        "Bytes held for connections; kind is input, head, body, response, control or text."},
     row{metric::StateEntries, "jackdawpick_state_entries", Gauge, "entries", "part",
         "Entries that a part of the state holds, as in the state dump."},
     row{metric::StateBytes, "jackdawpick_state_bytes", Gauge, "bytes", "part",
--- a/src/net/internal/http_client.cc
+++ b/src/net/internal/http_client.cc
@@ -75,8 +75,9 @@
 
 void http_exchange::updateAccount()
 {
-    const auto unsent = m_link == nullptr ? 0 : m_link->pending();
-    m_entry.hold(held_kind::Control, m_request.body.size() + m_input.size() + m_parser->body.capacity() + unsent);
+    const auto unsent = m_link == nullptr ? 0 : m_link->heldBytes();
+    m_entry.hold(held_kind::Control,
+                 m_request.body.uncountedBytes() + m_input.size() + m_parser->body.capacity() + unsent);
 }
 
 void http_exchange::resetParser()
@@ -111,10 +112,10 @@
 
 void http_exchange::sendRequest()
 {
-    std::string text = requestText(m_request);
-    text += std::exchange(m_request.body, {});
+    rope text(requestText(m_request));
+    text.append(std::exchange(m_request.body, {}));
     m_requestBytes = text.size();
-    m_link->send(std::move(text));
+    m_link->sendRope(text);
     updateAccount();
 }
 
--- a/src/net/internal/http_server.cc
+++ b/src/net/internal/http_server.cc
@@ -161,7 +161,7 @@
     m_readTimer.stop();
     const auto done = std::move(m_parser);
     m_servedHeadBytes = done->headBytes();
-    m_servedBodyBytes = done->body.capacity();
+    m_servedBodyBytes = m_server.m_options.handlerHoldsBodies ? 0 : done->body.capacity();
     m_entry->setStanding(standing::Serving);
     m_entry->noteProgress(time_point::clock::now());
     m_keepAlive = done->keep_alive() && !m_server.m_closing;
@@ -172,6 +172,7 @@
     m_request = ++m_server.m_requests.lastId;
     m_server.m_requests.sessions.emplace(m_request, shared_from_this());
     ++m_server.m_counters.httpRequests;
+    updateAccount(); // The handler may count the body from now on.
     const auto mark = done->target.find('?');
     m_server.m_handler({.id = request_id{m_request},
                         .method = std::move(done->method),
--- a/src/net/internal/memory_account.cc
+++ b/src/net/internal/memory_account.cc
@@ -52,7 +52,8 @@
 bool memory_account::mayServe(std::size_t bytes) const
 {
     const double share = bytes <= smallRequestBytes ? 1 : servedShare;
-    return m_servedBytes + bytes <= static_cast<std::size_t>(share * static_cast<double>(m_limits.heldBytes));
+    const auto texts = m_usage.heldBytes[indexOf(held_kind::Text)];
+    return m_servedBytes + texts + bytes <= static_cast<std::size_t>(share * static_cast<double>(m_limits.heldBytes));
 }
 
 void memory_account::relieve(time_point now)
--- a/src/net/internal/memory_account.h
+++ b/src/net/internal/memory_account.h
@@ -51,8 +51,9 @@
 public:
     // Bytes that a connection has to move before that counts as progress: single bytes at long intervals do not.
     static constexpr std::size_t progressBytes = 4096;
-    // Requests up to this size are taken while those that wait for their answers leave room in the account; larger ones
-    // only while these use less than `servedShare` of it, so that they leave room to ordinary ones.
+    // Requests up to this size are taken while those that wait for their answers, with the texts that are held for
+    // them, leave room in the account; larger ones only while these use less than `servedShare` of it, so that they
+    // leave room to ordinary ones.
     static constexpr std::size_t smallRequestBytes = 256U << 10U;
     static constexpr double servedShare = 0.75;
 
--- a/src/net/internal/tcp_streams.cc
+++ b/src/net/internal/tcp_streams.cc
@@ -33,7 +33,7 @@
 
 void tcp_stream::updateAccount()
 {
-    m_entry.hold(held_kind::Control, m_link->pending());
+    m_entry.hold(held_kind::Control, m_link->heldBytes());
 }
 
 void tcp_stream::onWritten()
--- a/src/net/internal/transport.cc
+++ b/src/net/internal/transport.cc
@@ -4,6 +4,7 @@
 #include "net/internal/address.h"
 #include "results/results.h"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <csignal>
@@ -23,10 +24,6 @@
 namespace
 {
 
-constexpr std::size_t receiveChunk = 32768;
-// Bytes taken from one connection in one turn of the loop, so that a fast sender leaves time to the others.
-constexpr std::size_t maxReceivedPerTurn = 1U << 20U;
-
 // Something between the two ends can lose track of a connection, which is then silent for good. Data without
 // acknowledgement and probes of idle connections show it. Servers and other daemons are near; callers may be slow.
 struct liveness_times
@@ -142,194 +139,6 @@
     owner.guarded(task);
 }
 
-connection::connection(int socket, bool open)
-    : m_socket(socket)
-    , m_open(open)
-{
-}
-
-void connection::setEvents(connection_events *events)
-{
-    m_events = events;
-}
-
-bool connection::isOpen() const
-{
-    return m_open && !m_closed;
-}
-
-void connection::send(std::string bytes)
-{
-    if (m_closed || bytes.empty()) {
-        return;
-    }
-    m_pending += bytes.size();
-    m_queue.push_back(std::move(bytes));
-    lws_callback_on_writable(m_wsi);
-}
-
-std::size_t connection::pending() const
-{
-    return m_pending;
-}
-
-std::uint64_t connection::handedBytes() const
-{
-    return m_handed;
-}
-
-void connection::close()
-{
-    m_events = nullptr;
-    if (m_closed) {
-        return;
-    }
-    m_closed = true;
-    m_queue.clear();
-    m_pending = 0;
-    lws_set_timeout(m_wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
-}
-
-void connection::finishWriting()
-{
-    m_finish = true;
-    if (!m_closed) {
-        lws_callback_on_writable(m_wsi);
-    }
-}
-
-bool connection::endedByPeer() const
-{
-    return m_ended;
-}
-
-bool connection::hasUnread() const
-{
-    char byte = 0;
-    return m_closed || ::recv(m_socket, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) >= 0 || errno != EAGAIN;
-}
-
-void connection::pauseReading(bool paused)
-{
-    if (!m_closed && std::exchange(m_paused, paused) != paused) {
-        lws_rx_flow_control(m_wsi, paused ? 0 : 1);
-    }
-}
-
-bool connection::onReadable()
-{
-    if (!checkOpened()) {
-        return false;
-    }
-    // Filled below as far as it is read.
-    static thread_local std::array<char, receiveChunk> buffer;
-    for (std::size_t taken = 0; taken < maxReceivedPerTurn && !m_closed && !m_paused;) {
-        const auto count = ::recv(m_socket, buffer.data(), buffer.size(), 0);
-        if (count < 0) {
-            return errno == EAGAIN || errno == EINTR;
-        }
-        if (count == 0) {
-            m_ended = true;
-            return false;
-        }
-        taken += static_cast<std::size_t>(count);
-        if (m_events != nullptr) {
-            m_events->onReceived({buffer.data(), static_cast<std::size_t>(count)});
-        }
-        if (static_cast<std::size_t>(count) < buffer.size()) {
-            break;
-        }
-    }
-    return !m_closed;
-}
-
-// True if the connection is established; reports it once.
-bool connection::checkOpened()
-{
-    if (m_open) {
-        return true;
-    }
-    int failure = 0;
-    socklen_t size = sizeof(failure);
-    if (::getsockopt(m_socket, SOL_SOCKET, SO_ERROR, &failure, &size) != 0 || failure != 0) {
-        return false;
-    }
-    m_open = true;
-    if (m_events != nullptr) {
-        m_events->onOpen();
-    }
-    return true;
-}
-
-bool connection::onWriteable(lws *wsi)
-{
-    if (!checkOpened() || m_closed || !writeSome()) {
-        return false;
-    }
-    endDirectionIfDue();
-    if (m_events != nullptr) {
-        m_events->onWritten();
-    }
-    if (hasWork()) {
-        awaitWriteable(wsi);
-    }
-    return !m_closed;
-}
-
-bool connection::hasWork() const
-{
-    return !m_closed && (m_pending > 0 || (m_finish && !m_directionEnded));
-}
-
-void connection::endDirectionIfDue()
-{
-    if (m_pending == 0 && m_finish && !std::exchange(m_directionEnded, true)) {
-        ::shutdown(m_socket, SHUT_WR);
-    }
-}
-
-// Asks for the next writeable callback in the next turn of the loop: libwebsockets ends the wait for it after this one,
-// so that what was asked for during a callback is lost.
-void connection::awaitWriteable(lws *wsi)
-{
-    auto *owner = static_cast<transport *>(lws_context_user(lws_get_context(wsi)));
-    owner->post([weak = weak_from_this()] {
-        if (const auto self = weak.lock(); self != nullptr && self->hasWork()) {
-            lws_callback_on_writable(self->m_wsi);
-        }
-    });
-}
-
-bool connection::writeSome()
-{
-    while (!m_queue.empty()) {
-        const std::string &first = m_queue.front();
-        const auto count = ::send(m_socket, first.data() + m_offset, first.size() - m_offset, MSG_NOSIGNAL);
-        if (count < 0) {
-            return errno == EAGAIN || errno == EINTR;
-        }
-        m_offset += static_cast<std::size_t>(count);
-        m_pending -= static_cast<std::size_t>(count);
-        m_handed += static_cast<std::size_t>(count);
-        if (m_offset < first.size()) {
-            return true;
-        }
-        m_queue.pop_front();
-        m_offset = 0;
-    }
-    return true;
-}
-
-void connection::onDescriptorClosed()
-{
-    m_closed = true;
-    m_pending = 0;
-    m_queue.clear();
-    if (auto *events = std::exchange(m_events, nullptr); events != nullptr) {
-        events->onClosed();
-    }
-}
-
 transport::transport()
 {
     lws_set_log_level(LLL_ERR, &logLine);
--- a/src/net/internal/transport.h
+++ b/src/net/internal/transport.h
@@ -5,6 +5,7 @@
 // its roles tells whether bytes were sent or whether a connection ended or was reset.
 
 #include "clock/clock.h"
+#include "rope/rope.h"
 
 #include <cstdint>
 #include <deque>
@@ -14,6 +15,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <sys/types.h>
 #include <unordered_map>
 
 namespace jackdawpick::net::internal
@@ -85,8 +87,11 @@
     void setEvents(connection_events *events);
     [[nodiscard]] bool isOpen() const;
     // Queues bytes; ignored after close().
-    void send(std::string bytes);
+    void send(shared_text bytes);
+    void sendRope(const rope &text); // Does not copy it.
     [[nodiscard]] std::size_t pending() const; // Queued bytes not yet handed to the kernel.
+    // Bytes that the queue keeps in memory, but for texts in accounts of others.
+    [[nodiscard]] std::size_t heldBytes() const;
     [[nodiscard]] std::uint64_t handedBytes() const; // Bytes taken by the kernel since the start.
     // The peer ended its direction; false after a reset or an error.
     [[nodiscard]] bool endedByPeer() const;
@@ -106,6 +111,9 @@
     void onDescriptorClosed() override;
     bool checkOpened();
     bool writeSome();
+    [[nodiscard]] ssize_t writeQueued(); // As sendmsg().
+    void removeWritten(std::size_t count);
+    void clearQueue();
     [[nodiscard]] bool hasWork() const; // For a writeable callback.
     void endDirectionIfDue();
     void awaitWriteable(lws *wsi);
@@ -119,9 +127,10 @@
     bool m_directionEnded = false; // The own one.
     bool m_paused = false;
     bool m_ended = false;
-    std::deque<std::string> m_queue;
+    std::deque<shared_text> m_queue;
     std::size_t m_offset = 0; // Written bytes of the first entry.
     std::size_t m_pending = 0;
+    std::size_t m_held = 0; // As of heldBytes().
     std::uint64_t m_handed = 0;
 };
 
--- a/src/net/net.cc
+++ b/src/net/net.cc
@@ -17,6 +17,7 @@
     // The transport is declared before its users, since their timers are cancelled in its context.
     loop_counters counters;
     internal::memory_account account;
+    internal::account_entry texts{account}; // Of the owner of the loop.
     internal::transport transport;
     internal::open_requests requests;
     std::vector<std::unique_ptr<internal::http_server>> servers;
@@ -215,6 +216,11 @@
     m_impl->account.setLimits(limits);
 }
 
+void loop::holdTexts(std::size_t bytes)
+{
+    m_impl->texts.hold(held_kind::Text, bytes);
+}
+
 const client_usage &loop::clientUsage() const
 {
     return m_impl->account.usage();
@@ -222,7 +228,7 @@
 
 std::string_view nameOf(held_kind kind)
 {
-    constexpr std::array<std::string_view, heldKindCount> names{"input", "head", "body", "response", "control"};
+    constexpr std::array<std::string_view, heldKindCount> names{"input", "head", "body", "response", "control", "text"};
     return names.at(static_cast<std::size_t>(kind));
 }
 
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -9,6 +9,7 @@
 //   loop.run();
 
 #include "clock/clock.h"
+#include "rope/rope.h"
 
 #include <array>
 #include <cstdint>
@@ -34,6 +35,7 @@
     std::chrono::milliseconds writeTimeout{30000}; // A client that takes no byte of its answer for so long is dropped.
     std::size_t maxUnsentBytes = 8U << 20U; // Unsent bytes of one stream; a client that falls behind is dropped.
     bool discardsBodies = false; // The handler needs no bodies; they are read, bounded and dropped.
+    bool handlerHoldsBodies = false; // The handler counts the bodies that it gets, by loop::holdTexts().
 };
 
 // Bounds over all HTTP listeners of a loop together.
@@ -48,11 +50,12 @@
 enum class held_kind : std::uint8_t {
     Input, // Received and not parsed.
     Head, // Of requests, with the cost of their fields in memory.
-    Body, // Of requests, until their answers are complete.
+    Body, // Of requests, until their answers are complete or their handler counts them.
     Response, // Not taken by the client yet.
     Control, // Exchanges with endpoints and the store, and links.
+    Text, // What the owner of the loop holds of requests and their answers.
 };
-inline constexpr std::size_t heldKindCount = 5;
+inline constexpr std::size_t heldKindCount = 6;
 [[nodiscard]] std::string_view nameOf(held_kind kind);
 
 // Why a client was refused or its connection closed by the HTTP layer.
@@ -102,7 +105,7 @@
     std::string address; // "ip:port"
     std::string method = "GET";
     std::string path = "/";
-    std::string body;
+    rope body; // Sent without a copy.
     std::vector<std::pair<std::string, std::string>> headers;
     std::chrono::milliseconds timeout{10000}; // For the whole exchange.
     std::chrono::milliseconds silence{0}; // Longest time without a byte, also while connecting; 0: no bound.
@@ -240,6 +243,8 @@
 
     // Applies from now on.
     void setClientLimits(const client_limits &limits);
+    // The bytes that the owner holds for requests. They take room from those that are not served yet.
+    void holdTexts(std::size_t bytes);
     [[nodiscard]] const client_usage &clientUsage() const;
 
 private:
--- a/src/peers/decode_message.cc
+++ b/src/peers/decode_message.cc
@@ -97,12 +97,12 @@
     return value;
 }
 
-std::vector<std::string> decodeRecords(const fbs::StoreCall &body)
+std::vector<shared_text> decodeRecords(const fbs::StoreCall &body)
 {
-    std::vector<std::string> records;
+    std::vector<shared_text> records;
     if (body.records() != nullptr) {
         for (const auto *record : *body.records()) {
-            records.push_back(decode(record->content()));
+            records.emplace_back(decode(record->content()));
         }
     }
     return records;
@@ -130,7 +130,7 @@
     case fbs::CallKind::Put: {
         auto records = decodeRecords(body);
         if (records.size() == 1) {
-            return store_request{body.id(), store::put_call{where, decode(body.key()), std::move(records.front())}};
+            return store_request{body.id(), store::put_call{where, decode(body.key()), records.front().str()}};
         }
         break;
     }
--- a/src/peers/encode_message.cc
+++ b/src/peers/encode_message.cc
@@ -18,11 +18,21 @@
 
 constexpr double percent = 100;
 
-flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>> encodeBytes(buffer_builder &out, const std::string &text)
+flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>> encodeBytes(buffer_builder &out, std::string_view text)
 {
     return out.CreateVector(reinterpret_cast<const std::uint8_t *>(text.data()), text.size());
 }
 
+flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>> encodeRope(buffer_builder &out, const rope &text)
+{
+    std::uint8_t *place = nullptr;
+    const auto offset = out.CreateUninitializedVector(text.size(), &place);
+    for (const auto &part : text.segments()) {
+        place = std::ranges::copy(part.view(), place).out;
+    }
+    return offset;
+}
+
 body_offset encode(buffer_builder &out, const hello &value)
 {
     const auto name = out.CreateString(value.name);
@@ -74,7 +84,7 @@
     body_offset operator()(const store::append_call &call) const
     {
         std::vector<flatbuffers::Offset<fbs::Bytes>> records;
-        std::ranges::transform(call.records, std::back_inserter(records), [this](const std::string &record) {
+        std::ranges::transform(call.records, std::back_inserter(records), [this](const shared_text &record) {
             return fbs::CreateBytes(out, encodeBytes(out, record));
         });
         const auto list = out.CreateVector(records);
@@ -276,7 +286,7 @@
     const auto host = out.CreateString(request.host);
     const auto target = out.CreateString(request.target);
     const auto headers = encodeHeaders(out, request.headers);
-    const auto body = encodeBytes(out, request.body);
+    const auto body = encodeRope(out, request.body);
     const auto tenant = out.CreateString(request.tenant);
     return fbs::CreateRelayedRequest(out, value.id, address, endpoint, attempt, method, host, target, headers, body,
                                      static_cast<std::uint32_t>(std::max<std::int64_t>(request.remaining.count(), 0)),
@@ -315,7 +325,7 @@
 
 body_offset encode(buffer_builder &out, const turn_reply &value)
 {
-    const auto history = encodeBytes(out, value.history);
+    const auto history = encodeRope(out, value.history);
     std::vector<fbs::TurnLocation> locations;
     std::ranges::transform(value.records, std::back_inserter(locations), [](const programs::turn_location &place) {
         return fbs::TurnLocation(place.offset, place.bytes, place.topic, place.part);
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -127,7 +127,7 @@
 {
     std::uint64_t id = 0;
     bool found = false;
-    std::string history; // Text of all turns up to and including this one.
+    rope history; // Text of all turns up to and including this one.
     std::vector<programs::turn_location> records; // Of the records that hold the history, oldest first.
     // How long ago the oldest of these records was written; unset if unknown.
     std::optional<std::chrono::milliseconds> beganAgo;
--- a/src/programs/program_records.cc
+++ b/src/programs/program_records.cc
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <fmt/format.h>
 #include <iterator>
+#include <memory>
 #include <program_records_generated.h>
 #include <xxhash.h>
 
@@ -113,7 +114,7 @@
 }
 
 // The ids link each record to the one before it; the hash also covers the bytes.
-std::optional<std::string> joinHistory(const std::vector<turn> &records, std::string_view id)
+std::optional<rope> joinHistory(std::vector<turn> records, std::string_view id, text_account &account)
 {
     if (records.empty() || records.back().id != id || !records.front().ancestors.empty()) {
         return std::nullopt;
@@ -122,15 +123,21 @@
         std::ranges::adjacent_find(records,
                                    [](const turn &before, const turn &after) { return before.id != after.previous; })
         == records.end();
-    std::string history;
-    std::ranges::for_each(records, [&history](const turn &record) { history += record.text; });
+    rope history;
+    std::ranges::for_each(records, [&](turn &record) { history.append(account.share(std::move(record.text))); });
     return isLinked && hashHistory(history) == records.back().historyHash ? std::optional(std::move(history))
                                                                           : std::nullopt;
 }
 
-std::uint64_t hashHistory(std::string_view history)
+// The hash of the joined text.
+std::uint64_t hashHistory(const rope &history)
 {
-    return XXH3_64bits(history.data(), history.size());
+    const std::unique_ptr<XXH3_state_t, decltype(&XXH3_freeState)> state(XXH3_createState(), &XXH3_freeState);
+    XXH3_64bits_reset(state.get());
+    for (const auto &part : history.segments()) {
+        XXH3_64bits_update(state.get(), part.view().data(), part.size());
+    }
+    return XXH3_64bits_digest(state.get());
 }
 
 } // namespace jackdawpick::programs
--- a/src/programs/programs.h
+++ b/src/programs/programs.h
@@ -17,6 +17,7 @@
 
 #include "bounded_map/bounded_map.h"
 #include "clock/clock.h"
+#include "rope/rope.h"
 #include "store/store.h"
 
 #include <cstdint>
@@ -86,9 +87,9 @@
 };
 
 // Joins the texts of the records of a chain, given oldest first, into the history up to and including the turn `id`.
-// Empty unless the records are the complete chain of that turn.
-[[nodiscard]] std::optional<std::string> joinHistory(const std::vector<turn> &records, std::string_view id);
-[[nodiscard]] std::uint64_t hashHistory(std::string_view history);
+// Empty unless the records are the complete chain of that turn. The account counts the texts.
+[[nodiscard]] std::optional<rope> joinHistory(std::vector<turn> records, std::string_view id, text_account &account);
+[[nodiscard]] std::uint64_t hashHistory(const rope &history);
 
 using program_record = std::variant<reservation, settlement, turn>;
 
@@ -343,8 +344,8 @@
 
 struct turn_cache_limits
 {
-    std::size_t textBytes = 4U << 20U; // Of histories.
-    std::size_t chainBytes = 4U << 20U; // Of ids, chains and the nodes that hold them.
+    std::size_t textBytes = 4U << 20U; // Of histories; what several of them share counts once.
+    std::size_t chainBytes = 4U << 20U; // Of ids, chains and all else beside the texts.
     std::chrono::milliseconds retention{300000}; // How long a chain is kept after it was added.
 };
 
@@ -354,14 +355,16 @@
 public:
     explicit turn_cache(const turn_cache_limits &limits);
 
-    void add(const std::string &id, std::string history, turn_chain chain, time_point now);
+    void add(const std::string &id, rope history, turn_chain chain, time_point now);
     // Adds a turn whose history is not known; has no effect on a turn that is known already.
     void addChain(const std::string &id, turn_chain chain, time_point now);
     // Null if the history is not cached. Valid until the next call of add().
-    [[nodiscard]] const std::string *find(const std::string &id);
+    [[nodiscard]] const rope *find(const std::string &id);
     // Null if the turn is not known. Valid until the next call of another function.
     [[nodiscard]] const turn_chain *chainOf(const std::string &id);
     void evictExpired(time_point now);
+    // Returns false if no history is cached.
+    bool evictOldestText();
     // The records of turns that were evicted for lack of room, since the last call. They may still have to be found.
     [[nodiscard]] std::vector<turn_location> takeEvicted();
     [[nodiscard]] std::size_t textBytes() const;
@@ -374,7 +377,7 @@
     {
         turn_chain chain;
         time_point added;
-        std::optional<std::string> history;
+        std::optional<rope> history;
         std::list<std::string>::iterator position; // In m_byRecency, if there is a history.
     };
 
@@ -383,7 +386,7 @@
     void evictHistories();
 
     turn_cache_limits m_limits;
-    std::size_t m_textBytes = 0;
+    segment_count m_texts; // Of the histories.
     bounded_map<entry> m_entries;
     std::list<std::string> m_byRecency; // Ids of turns with a cached history, most recently used first.
     std::vector<turn_location> m_evicted;
--- a/src/programs/programs_test.cc
+++ b/src/programs/programs_test.cc
@@ -122,18 +122,22 @@
 // Guards against a history made of records that are not the chain of the turn: an engine would run a wrong prompt.
 TEST(TurnHistory, IsJoinedOnlyFromTheCompleteChain)
 {
+    text_account account;
+    const auto join = [&account](std::vector<turn> records, std::string_view id) {
+        return joinHistory(std::move(records), id, account);
+    };
     const turn first{"a", "", "1", {}, hashHistory("1")};
     const turn second{"b", "a", "2", {{}}, hashHistory("12")};
     const turn third{"c", "b", "3", {{}, {}}, hashHistory("123")};
-    EXPECT_EQ(joinHistory({first}, "a"), "1");
-    EXPECT_EQ(joinHistory({first, second, third}, "c"), "123");
-    EXPECT_EQ(joinHistory({}, "c"), std::nullopt);
-    EXPECT_EQ(joinHistory({first, second, third}, "b"), std::nullopt);
-    EXPECT_EQ(joinHistory({second, third}, "c"), std::nullopt); // The oldest record has ancestors.
-    EXPECT_EQ(joinHistory({first, third}, "c"), std::nullopt);
-    EXPECT_EQ(joinHistory({first, first, second}, "b"), std::nullopt);
+    EXPECT_EQ(join({first}, "a"), rope("1"));
+    EXPECT_EQ(join({first, second, third}, "c"), rope("123"));
+    EXPECT_EQ(join({}, "c"), std::nullopt);
+    EXPECT_EQ(join({first, second, third}, "b"), std::nullopt);
+    EXPECT_EQ(join({second, third}, "c"), std::nullopt); // The oldest record has ancestors.
+    EXPECT_EQ(join({first, third}, "c"), std::nullopt);
+    EXPECT_EQ(join({first, first, second}, "b"), std::nullopt);
     const turn otherFirst{"a", "", "9", {}, hashHistory("9")};
-    EXPECT_EQ(joinHistory({otherFirst, second}, "b"), std::nullopt); // The same ids, other bytes.
+    EXPECT_EQ(join({otherFirst, second}, "b"), std::nullopt); // The same ids, other bytes.
 }
 
 } // namespace jackdawpick::programs
--- a/src/programs/turn_cache.cc
+++ b/src/programs/turn_cache.cc
@@ -8,11 +8,12 @@
 namespace
 {
 
-// What an entry with a history owns beside its chain and the text: its id in the list of histories with the node of
-// that, and what the allocator adds to the text.
-std::size_t historyOverheadBytes(const std::string &id)
+// What an entry with a history owns beside its chain and the texts: its id in the list of histories with the node of
+// that, and the segments.
+std::size_t historyOverheadBytes(const std::string &id, const std::optional<rope> &history)
 {
-    return heapBytes(id) + blockBytes(sizeof(std::string) + 2 * sizeof(void *)) + blockBytes(1);
+    return heapBytes(id) + blockBytes(sizeof(std::string) + 2 * sizeof(void *))
+        + (history.has_value() ? blockBytes(history->heapBytes()) : 0);
 }
 
 } // namespace
@@ -23,16 +24,14 @@
 {
 }
 
-void turn_cache::add(const std::string &id, std::string history, turn_chain chain, time_point now)
+void turn_cache::add(const std::string &id, rope history, turn_chain chain, time_point now)
 {
     if (auto *known = m_entries.find(id); known != nullptr) {
         dropHistory(*known);
     }
-    history.shrink_to_fit(); // Its size is what is held then; a text that was appended to may own twice as much.
-    m_textBytes += history.size();
+    m_texts.add(history);
     m_byRecency.push_front(id);
-    put(id,
-        {.chain = std::move(chain), .added = now, .history = std::move(history), .position = m_byRecency.begin()});
+    put(id, {.chain = std::move(chain), .added = now, .history = std::move(history), .position = m_byRecency.begin()});
     evictHistories();
 }
 
@@ -46,7 +45,7 @@
 void turn_cache::put(const std::string &id, entry value)
 {
     value.chain.records.shrink_to_fit();
-    const auto bytes = heapBytes(value.chain.records) + historyOverheadBytes(id);
+    const auto bytes = heapBytes(value.chain.records) + historyOverheadBytes(id, value.history);
     for (auto &evicted : m_entries.put(id, std::move(value), bytes)) {
         dropHistory(evicted.value);
         if (!evicted.value.chain.records.empty()) {
@@ -58,8 +57,8 @@
 void turn_cache::dropHistory(entry &value)
 {
     if (value.history.has_value()) {
-        m_textBytes -= value.history->size();
-        value.history.reset(); // An assignment of an empty text would keep the memory of the old one.
+        m_texts.remove(*value.history);
+        value.history.reset();
         m_byRecency.erase(value.position);
     }
 }
@@ -67,13 +66,21 @@
 // Keeps the most recent history even if it alone exceeds the limit.
 void turn_cache::evictHistories()
 {
-    while (m_textBytes > m_limits.textBytes && m_byRecency.size() > 1) {
-        const auto oldest = std::prev(m_byRecency.end());
-        dropHistory(*m_entries.peek(*oldest));
+    while (m_texts.bytes() > m_limits.textBytes && m_byRecency.size() > 1) {
+        evictOldestText();
     }
 }
 
-const std::string *turn_cache::find(const std::string &id)
+bool turn_cache::evictOldestText()
+{
+    if (m_byRecency.empty()) {
+        return false;
+    }
+    dropHistory(*m_entries.peek(m_byRecency.back()));
+    return true;
+}
+
+const rope *turn_cache::find(const std::string &id)
 {
     auto *found = m_entries.find(id);
     if (found == nullptr || !found->history.has_value()) {
@@ -91,8 +98,7 @@
 
 void turn_cache::evictExpired(time_point now)
 {
-    auto expired =
-        m_entries.extractIf([&](const entry &value) { return now - value.added > m_limits.retention; });
+    auto expired = m_entries.extractIf([&](const entry &value) { return now - value.added > m_limits.retention; });
     for (auto &item : expired) {
         dropHistory(item.value);
     }
@@ -105,7 +111,7 @@
 
 std::size_t turn_cache::textBytes() const
 {
-    return m_textBytes;
+    return m_texts.bytes();
 }
 
 std::size_t turn_cache::chainBytes() const
--- a/src/results/results.cc
+++ b/src/results/results.cc
@@ -39,6 +39,8 @@
                        "The configuration has no route for this host and path."},
     result_description{result_code::UnknownKey, "UnknownKey", NotRun, Never, 401,
                        "Send a key that the configuration holds."},
+    result_description{result_code::MemoryFull, "MemoryFull", NotRun, Later, 503,
+                       "The daemon has no memory left for the turn; send it again or to another entry address."},
     result_description{result_code::ProgramIdRequired, "ProgramIdRequired", NotRun, Never, 400,
                        "Choose a program id before sending a non-idempotent call."},
     result_description{result_code::TurnOutOfOrder, "TurnOutOfOrder", NotRun, Never, 409,
--- a/src/results/results.h
+++ b/src/results/results.h
@@ -42,6 +42,7 @@
     UnknownCustomer = 110,
     UnknownRoute = 111,
     UnknownKey = 112,
+    MemoryFull = 113,
     ProgramIdRequired = 200,
     TurnOutOfOrder = 201,
     TurnAlreadySettled = 202,
--- a/src/store/partition_log.cc
+++ b/src/store/partition_log.cc
@@ -6,7 +6,7 @@
 namespace jackdawpick::store
 {
 
-ticket_id partition_log::append(const partition &where, std::string record, time_point deadline)
+ticket_id partition_log::append(const partition &where, shared_text record, time_point deadline)
 {
     auto &state = m_partitions[where];
     m_active.insert(where);
--- a/src/store/partition_log.h
+++ b/src/store/partition_log.h
@@ -57,7 +57,7 @@
     // Delay before a failed call is retried.
     static constexpr std::chrono::milliseconds retryDelay{40};
 
-    ticket_id append(const partition &where, std::string record, time_point deadline);
+    ticket_id append(const partition &where, shared_text record, time_point deadline);
     // Completes once all records that the partition had at the time of this call have been delivered.
     ticket_id catchUp(const partition &where, time_point deadline);
     // The next catch-up delivers the records from this offset on once more.
@@ -77,7 +77,7 @@
     struct pending_append
     {
         ticket_id ticket{};
-        std::string record;
+        shared_text record;
         time_point deadline;
     };
 
--- a/src/store/store.cc
+++ b/src/store/store.cc
@@ -37,7 +37,7 @@
 {
     if (const auto *append = std::get_if<append_call>(&value)) {
         return std::accumulate(append->records.begin(), append->records.end(), std::size_t{0},
-                               [](std::size_t sum, const std::string &record) { return sum + record.size(); });
+                               [](std::size_t sum, const shared_text &record) { return sum + record.size(); });
     }
     const auto *put = std::get_if<put_call>(&value);
     return put == nullptr ? 0 : put->key.size() + put->value.size();
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -5,6 +5,8 @@
 //   store::call call = store::read_call{.where = {"programs-0", 3}, .from = 17};
 //   send(call);   // The reply is a store::reply.
 
+#include "rope/rope.h"
+
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -33,7 +35,7 @@
 struct append_call
 {
     partition where;
-    std::vector<std::string> records;
+    std::vector<shared_text> records;
     std::optional<std::uint64_t> expectedEnd; // If set, the append fails unless the partition ends at this offset.
     bool operator==(const append_call &) const = default;
 };
