--- a/src/quotas/quotas_property_test.cc
+++ b/src/quotas/quotas_property_test.cc
@@ -129,7 +129,7 @@
             if (*append->expectedEnd != m_log.size()) {
                 return store::conflict{m_log.size()};
             }
-            m_log.push_back({.offset = m_log.size(), .key = {}, .value = append->records.front()});
+            m_log.push_back({.offset = m_log.size(), .key = {}, .value = append->records.front().str()});
             return store::appended{m_log.back().offset};
         }
         const auto from = std::get<store::read_call>(call).from;
--- a/src/quotas/quotas_test.cc
+++ b/src/quotas/quotas_test.cc
@@ -28,7 +28,7 @@
             if (append->expectedEnd.value_or(records.size()) != records.size()) {
                 return store::conflict{records.size()};
             }
-            records.push_back({.offset = records.size(), .key = {}, .value = append->records.front()});
+            records.push_back({.offset = records.size(), .key = {}, .value = append->records.front().str()});
             return store::appended{records.back().offset};
         }
         const auto &read = std::get<store::read_call>(call);
