Turn cache: an entry counts without its history once that is evicted

Cause: an entry went on counting with the list of segments of the history that it had lost, so that the bound of chains held a third of the turns that it has room for, and turns were read again from the store early. After the mend the test held 31 chains, since its bounds left little beside the ten texts that they allow: they are 20 KB of texts and 60 KB of chains now, so that both are reached; its checks are the same.

Test: TurnCache.CountsAnEntryWithoutItsHistoryOnceThatIsEvicted.

--- a/src/gateway/held_state_test.cc
+++ b/src/gateway/held_state_test.cc
@@ -14,8 +14,8 @@
 namespace
 {
 
-constexpr std::size_t textBytes = 60000;
-constexpr std::size_t chainBytes = 40000;
+constexpr std::size_t textBytes = 20000;
+constexpr std::size_t chainBytes = 60000;
 
 // Runs programs of four turns, one turn each second.
 void runPrograms(gateway_world &world, std::chrono::seconds time, const std::string &prefix)
--- a/src/programs/turn_cache.cc
+++ b/src/programs/turn_cache.cc
@@ -12,8 +12,10 @@
 // that, and the segments.
 std::size_t historyOverheadBytes(const std::string &id, const std::optional<rope> &history)
 {
-    return heapBytes(id) + blockBytes(sizeof(std::string) + 2 * sizeof(void *))
-        + (history.has_value() ? blockBytes(history->heapBytes()) : 0);
+    if (!history.has_value()) {
+        return 0;
+    }
+    return heapBytes(id) + blockBytes(sizeof(std::string) + 2 * sizeof(void *)) + blockBytes(history->heapBytes());
 }
 
 } // namespace
@@ -76,7 +78,10 @@
     if (m_byRecency.empty()) {
         return false;
     }
-    dropHistory(*m_entries.peek(m_byRecency.back()));
+    const auto id = m_byRecency.back();
+    auto value = std::move(*m_entries.peek(id));
+    dropHistory(value);
+    put(id, std::move(value)); // Once more, since it counts with what it holds now.
     return true;
 }
 
--- a/src/programs/turn_cache_test.cc
+++ b/src/programs/turn_cache_test.cc
@@ -88,6 +88,26 @@
     }
 }
 
+// Guards against a chain that goes on counting with the history that it had: the room would hold a fraction of the
+// turns.
+TEST(TurnCache, CountsAnEntryWithoutItsHistoryOnceThatIsEvicted)
+{
+    turn_cache cache({.textBytes = 100});
+    turn_cache chainsOnly({.textBytes = 100});
+    for (int i = 0; i < 100; ++i) {
+        rope history;
+        for (int segment = 0; segment < 20; ++segment) {
+            history.append(shared_text(fmt::format("segment {} of turn {}", segment, i)));
+        }
+        const turn_chain chain{.records = std::vector<turn_location>(10), .began = start};
+        cache.add(fmt::format("turn-{}", i), history, chain, start);
+        chainsOnly.addChain(fmt::format("turn-{}", i), chain, start);
+    }
+    EXPECT_EQ(cache.size(), 100U);
+    EXPECT_EQ(cache.textCount(), 1U);
+    EXPECT_LE(cache.chainBytes(), chainsOnly.chainBytes() * 3 / 2);
+}
+
 // Guards against a turn that exists and counts as unknown: whoever evicts its chain must be able to read it again.
 TEST(TurnCache, TellsWhichRecordsItHasForgotten)
 {
