Segments: each dispatch asks for the size of the input without building a rope

segmentsDueAt() runs at each dispatch and put a rope together only to read its size. It looks at the input itself now; the condition is the same.

--- a/src/gateway/segment_writes.cc
+++ b/src/gateway/segment_writes.cc
@@ -40,7 +40,7 @@
     if (!context.route->retainsTurns) {
         return std::nullopt;
     }
-    if (textToWrite(context, false).size() > maxSegmentBytes) {
+    if (!context.inputWritten && context.input.size() > maxSegmentBytes) {
         return now;
     }
     const auto &chain = context.chain;
